Carry control messages over WebSocket with CBOR under watermill

Cause: entries, their peers and the lease holder have to exchange state. Ruled out: watermill's own brokers (a second service), gob and JSON (the house style asks for CBOR). Conclusion: one Hub a process is publisher and subscriber for all topics.

--- /dev/null
+++ b/shared/channel/codec.go
@@ -0,0 +1,31 @@
+package channel
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode writes a wire type as CBOR.
+func Encode(v any) ([]byte, error) {
+	return encoding.Marshal(v)
+}
+
+// Decode reads a wire type from CBOR.
+func Decode[T any](data []byte) (T, error) {
+	var v T
+	if err := cbor.Unmarshal(data, &v); err != nil {
+		return v, fmt.Errorf("decode %T: %w", v, err)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/shared/channel/hub.go
@@ -0,0 +1,176 @@
+// Package channel carries control messages between instances: watermill messages in CBOR over WebSocket links.
+package channel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"cowslipshunt.example/wire"
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/phuslu/log"
+)
+
+// Topics of a hub's own messages about its links; the payload is the peer's wire.Hello.
+const (
+	TopicLinkUp   = "LinkUp"
+	TopicLinkDown = "LinkDown"
+)
+
+// Metadata keys of a message.
+const (
+	metadataTo   = "To"
+	metadataFrom = "From"
+)
+
+// subscriptionQueue bounds the messages that wait for one subscriber. At the bound the links that bring more wait.
+const subscriptionQueue = 1024
+
+// ErrNoLink is returned for a message to an instance without a link.
+var ErrNoLink = errors.New("no link to the instance")
+
+// Hub owns every control link of one process. It is a watermill publisher and subscriber.
+type Hub struct {
+	self   wire.Hello
+	logger *log.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu     sync.Mutex
+	links  map[wire.InstanceName][]*link
+	topics map[string][]*subscription
+}
+
+var (
+	_ message.Publisher  = (*Hub)(nil)
+	_ message.Subscriber = (*Hub)(nil)
+)
+
+// NewHub returns a hub that opens each link with self.
+func NewHub(self wire.Hello, logger *log.Logger) *Hub {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Hub{
+		self:   self,
+		logger: logger,
+		ctx:    ctx,
+		cancel: cancel,
+		links:  map[wire.InstanceName][]*link{},
+		topics: map[string][]*subscription{},
+	}
+}
+
+// Publish sends messages to the instance that their metadata names, or to every linked instance. A message to one
+// instance without a link is ErrNoLink; a message to all is sent to those there are.
+func (h *Hub) Publish(topic string, messages ...*message.Message) error {
+	for _, m := range messages {
+		if err := h.publish(topic, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Hub) publish(topic string, m *message.Message) error {
+	to := wire.InstanceName(m.Metadata.Get(metadataTo))
+	frame, err := Encode(wire.Envelope{Topic: topic, Id: m.UUID, From: h.self.Instance, To: to, Payload: m.Payload})
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", topic, err)
+	}
+	targets := h.targets(to)
+	if to != "" && len(targets) == 0 {
+		return ErrNoLink
+	}
+	for _, l := range targets {
+		l.send(frame)
+	}
+	return nil
+}
+
+// targets returns one link for each addressed instance.
+func (h *Hub) targets(to wire.InstanceName) []*link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var found []*link
+	for name, links := range h.links {
+		if len(links) > 0 && (to == "" || to == name) {
+			found = append(found, links[len(links)-1])
+		}
+	}
+	return found
+}
+
+// Links returns the peers that are linked now.
+func (h *Hub) Links() []wire.Hello {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var peers []wire.Hello
+	for _, links := range h.links {
+		if len(links) > 0 {
+			peers = append(peers, links[len(links)-1].peer)
+		}
+	}
+	return peers
+}
+
+func (h *Hub) add(l *link) {
+	h.mu.Lock()
+	h.links[l.peer.Instance] = append(h.links[l.peer.Instance], l)
+	h.mu.Unlock()
+	h.announce(TopicLinkUp, l.peer)
+}
+
+func (h *Hub) remove(l *link) {
+	h.mu.Lock()
+	left := h.links[l.peer.Instance][:0:0]
+	for _, other := range h.links[l.peer.Instance] {
+		if other != l {
+			left = append(left, other)
+		}
+	}
+	h.links[l.peer.Instance] = left
+	last := len(left) == 0
+	if last {
+		delete(h.links, l.peer.Instance)
+	}
+	h.mu.Unlock()
+	if last {
+		h.announce(TopicLinkDown, l.peer)
+	}
+}
+
+func (h *Hub) announce(topic string, peer wire.Hello) {
+	payload, err := Encode(peer)
+	if err != nil {
+		h.logger.Error().Err(err).Msg("cannot encode a peer's hello")
+		return
+	}
+	h.deliver(wire.Envelope{Topic: topic, Id: watermill.NewUUID(), From: peer.Instance, Payload: payload})
+}
+
+// Subscribe returns the messages of a topic in order, each after the one before was acknowledged.
+func (h *Hub) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	s := h.newSubscription(ctx)
+	h.mu.Lock()
+	h.topics[topic] = append(h.topics[topic], s)
+	h.mu.Unlock()
+	return s.out, nil
+}
+
+func (h *Hub) deliver(e wire.Envelope) {
+	h.mu.Lock()
+	subscriptions := h.topics[e.Topic]
+	h.mu.Unlock()
+	for _, s := range subscriptions {
+		s.put(h.ctx, e)
+	}
+}
+
+// Close ends every link and subscription.
+func (h *Hub) Close() error {
+	h.cancel()
+	h.work.Wait()
+	return nil
+}
