--- /dev/null
+++ b/shared/document/check_engine.go
@@ -0,0 +1,94 @@
+package document
+
+import (
+	"fmt"
+
+	"cowslipshunt.example/wire"
+)
+
+func (c *checker) checkModels() {
+	seen := set[wire.ModelName]{}
+	for i, m := range c.d.Model {
+		field := at("Model", i)
+		c.checkName(field+".Name", string(m.Name))
+		checkOnce(c, seen, field+".Name", m.Name)
+		c.checkName(field+".Version", string(m.Version))
+		checkNotNegative(c, field+".PromptPrice", m.PromptPrice)
+		checkNotNegative(c, field+".OutputPrice", m.OutputPrice)
+		checkNotNegative(c, field+".MaxOutput", m.MaxOutput)
+		capabilities := set[string]{}
+		for _, name := range m.Capabilities {
+			c.checkName(field+".Capabilities", name)
+			checkOnce(c, capabilities, field+".Capabilities", name)
+		}
+	}
+}
+
+func (c *checker) checkKinds() {
+	for i, k := range c.d.EndpointKind {
+		field := at("EndpointKind", i)
+		c.checkName(field+".Name", string(k.Name))
+		checkOnce(c, c.kinds, field+".Name", k.Name)
+		checkNotNegative(c, field+".Concurrency", k.Concurrency)
+		c.checkServes(field, k)
+	}
+}
+
+func (c *checker) checkServes(field string, k EndpointKind) {
+	switch k.Serves {
+	case ServesModel:
+		c.checkServesModel(field, k)
+	case ServesService:
+		c.checkServesService(field, k)
+	case "":
+		c.Fail(field+".Serves", "is missing")
+	default:
+		c.Fail(field+".Serves", "%q is neither %s nor %s", k.Serves, ServesModel, ServesService)
+	}
+}
+
+func (c *checker) checkServesModel(field string, k EndpointKind) {
+	if k.Service != "" {
+		c.Fail(field+".Service", "belongs only to a kind that serves a service")
+	}
+	if k.Model == "" {
+		c.Fail(field+".Model", "is missing")
+		return
+	}
+	c.checkModel(field+".Model", k.Model)
+	if m := c.models[k.Model]; k.Cheap && m != nil && !m.MayRepeat() {
+		c.Fail(field+".Cheap", "model %s is not repeatable, and such work never goes to cheap endpoints", k.Model)
+	}
+}
+
+func (c *checker) checkServesService(field string, k EndpointKind) {
+	if k.Model != "" {
+		c.Fail(field+".Model", "belongs only to a kind that serves a model")
+	}
+	c.checkName(field+".Service", string(k.Service))
+	if !k.Cheap || k.Service == "" {
+		return
+	}
+	for i, r := range c.d.Route {
+		if r.Service == k.Service && !r.Repeatable {
+			c.Fail(field+".Cheap", "service %s has a route that is not repeatable, %s, and such work never goes to cheap endpoints", k.Service, at("Route", i))
+		}
+	}
+}
+
+func (c *checker) checkFleets() {
+	seen := set[string]{}
+	for i, f := range c.d.Fleet {
+		field := at("Fleet", i)
+		c.checkName(field+".Domain", string(f.Domain))
+		checkNotNegative(c, field+".Count", f.Count)
+		if f.Kind == "" {
+			c.Fail(field+".Kind", "is missing")
+			continue
+		}
+		if _, ok := c.kinds[f.Kind]; !ok {
+			c.Fail(field+".Kind", "there is no endpoint kind %q", f.Kind)
+		}
+		checkOnce(c, seen, field+".Kind", fmt.Sprintf("kind %s in domain %s", f.Kind, f.Domain))
+	}
+}
--- /dev/null
+++ b/shared/document/check_route.go
@@ -0,0 +1,59 @@
+package document
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+func (c *checker) checkRoutes() {
+	seen := set[string]{}
+	for i, r := range c.d.Route {
+		field := at("Route", i)
+		if r.Service == "" {
+			c.Fail(field+".Service", "is missing")
+		} else {
+			c.checkService(field+".Service", r.Service)
+		}
+		if r.Method != "" && !slices.Contains(methods, r.Method) {
+			c.Fail(field+".Method", "%q is none of %v", r.Method, methods)
+		}
+		c.checkPrefix(field+".Prefix", r.Prefix)
+		checkNotNegative(c, field+".Price", r.Price)
+		checkOnce(c, seen, field+".Prefix", fmt.Sprintf("route %s", r.title()))
+	}
+}
+
+func (c *checker) checkPrefix(field, prefix string) {
+	switch {
+	case prefix == "":
+		c.Fail(field, "is missing")
+	case !strings.HasPrefix(prefix, "/"):
+		c.Fail(field, "%q does not start with '/'", prefix)
+	case prefix != "/" && strings.HasSuffix(prefix, "/"):
+		c.Fail(field, "%q ends with '/'", prefix)
+	case strings.ContainsFunc(prefix, unfitForPrefix):
+		c.Fail(field, "%q may hold only printing ASCII other than '%%', '?', '#', '\\' and space", prefix)
+	case !PlainPath(prefix):
+		c.Fail(field, "%q has an empty, '.' or '..' segment", prefix)
+	}
+}
+
+func unfitForPrefix(r rune) bool {
+	return r <= ' ' || r > '~' || strings.ContainsRune(`%?#\`, r)
+}
+
+// title names a route by its service, method and prefix.
+func (r Route) title() string {
+	method := r.Method
+	if method == "" {
+		method = "any"
+	}
+	return fmt.Sprintf("%s %s %s", r.Service, method, r.Prefix)
+}
--- a/shared/setting/place.go
+++ b/shared/setting/place.go
@@ -11,6 +11,10 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
+// UnknownField is the text of a finding about a field that the file should not have. Decode reports these after it has
+// read everything else.
+const UnknownField = "unknown field"
+
 // Places maps the fields of one TOML file to where they stand.
 type Places struct {
 	file string
@@ -56,7 +60,7 @@
 	case errors.As(err, &missing):
 		var list finding.List
 		for _, e := range missing.Errors {
-			list = append(list, p.at1(&e, "unknown field"))
+			list = append(list, p.at1(&e, UnknownField))
 		}
 		return list
 	case errors.As(err, &decode):
