Serve the platform's interfaces in memory, with faults on request

Cause: entry, controller and the proofs need a platform to talk to, and one that fails when a test asks. Ruled out: a database behind the table (a sorted slice of keys a table is enough); a platform that refills endpoints by itself (it would hide whether a controller orders anew); a delay that ends when its caller leaves (late effects are what fault tests are after).

--- /dev/null
+++ b/standin/platform/api_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/shared/platform"
+	"cowslipshunt.example/wire"
+)
+
+// testTimeout bounds a test's waits.
+const testTimeout = 10 * time.Second
+
+func status(err error) int {
+	var refused *platform.Error
+	if errors.As(err, &refused) {
+		return refused.Status
+	}
+	return 0
+}
+
+func TestOrdersAreDoneOncePerId(t *testing.T) {
+	f := newFixture(t)
+	steps := []struct {
+		do   func()
+		want string
+	}{
+		{func() {}, "e1 "},
+		{func() { f.order("o1", 2) }, "e1 e2 "},
+		{func() { f.order("o2", 1) }, "e1 e2 - "},
+		{func() { f.order("o1", 2) }, "e1 e2 - "},
+		{func() { f.order("o3", 2) }, "e1 e2 - e3 "},
+		{func() { f.clock.Advance(LeaveTime) }, "e1 e3 "},
+		{func() { f.control("/endpoints/vanish", wire.EndpointRef{Endpoint: "e1"}) }, "e3 "},
+		{func() { f.control("/endpoints/leaving", wire.EndpointRef{Endpoint: "e3"}) }, "e3 - "},
+	}
+	for i, step := range steps {
+		step.do()
+		if got := f.listed(); got != step.want {
+			t.Errorf("step %d: got %q, want %q", i, got, step.want)
+		}
+	}
+	if answer := f.order("o4", 3); answer.Count != 1 || answer.Reason == "" {
+		t.Errorf("a pool with one free endpoint answered %+v", answer)
+	}
+	_, err := f.OrderEndpoints(t.Context(), wire.EndpointOrder{Order: "o1", Domain: "d", Kind: "k", Count: 3})
+	if status(err) != http.StatusConflict {
+		t.Errorf("an order id with another count got %v", err)
+	}
+	if got := fetch[wire.EndpointOrderList](f, "/received/orders"); len(got.Orders) != 6 {
+		t.Errorf("received %d orders, want 6: %+v", len(got.Orders), got.Orders)
+	}
+	if got := f.control("/endpoints/vanish", wire.EndpointRef{Endpoint: "e1"}); got != http.StatusNotFound {
+		t.Errorf("a vanished endpoint vanished again: status %d", got)
+	}
+}
+
+func TestUsageOfAWindowNeverChanges(t *testing.T) {
+	f := newFixture(t)
+	a, b := wire.UsageFigure{Workspace: "a", Requests: 1}, wire.UsageFigure{Workspace: "b", Requests: 2}
+	reports := []struct {
+		report wire.UsageReport
+		want   int
+	}{
+		{wire.UsageReport{Window: 1, Holder: "x", Figures: []wire.UsageFigure{a, b}}, 0},
+		{wire.UsageReport{Window: 1, Holder: "y", Figures: []wire.UsageFigure{b, a}}, 0},
+		{wire.UsageReport{Window: 1, Figures: []wire.UsageFigure{a}}, http.StatusConflict},
+		{wire.UsageReport{Window: 1, Figures: []wire.UsageFigure{a, a}}, http.StatusConflict},
+		{wire.UsageReport{Window: 2, Figures: []wire.UsageFigure{a}}, 0},
+	}
+	for i, r := range reports {
+		err := f.ReportUsage(t.Context(), r.report)
+		if status(err) != r.want || (err == nil) != (r.want == 0) {
+			t.Errorf("report %d: got %v, want status %d", i, err, r.want)
+		}
+	}
+	if got := fetch[wire.UsageReportList](f, "/received/usage"); len(got.Reports) != len(reports) {
+		t.Errorf("received %d reports, want %d", len(got.Reports), len(reports))
+	}
+}
+
+func TestObjectsAreNamedByTheirDigest(t *testing.T) {
+	f := newFixture(t)
+	data := []byte("text")
+	name := digestOf(data)
+	if err := f.PutObject(t.Context(), name, []byte("other")); status(err) != http.StatusBadRequest {
+		t.Errorf("a wrong name got %v", err)
+	}
+	if _, err := f.GetObject(t.Context(), name); status(err) != http.StatusNotFound {
+		t.Errorf("an absent object got %v", err)
+	}
+	for range 2 {
+		if err := f.PutObject(t.Context(), name, data); err != nil {
+			t.Error(err)
+		}
+	}
+	if got, err := f.GetObject(t.Context(), name); err != nil || !bytes.Equal(got, data) {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+func TestInstancesLag(t *testing.T) {
+	f := newFixture(t)
+	f.control("/instances", wire.InstanceRecord{Instance: "i", Phase: wire.InstancePhaseLive})
+	for _, want := range []int{0, 1} {
+		got, err := f.Instances(t.Context())
+		if err != nil || len(got) != want {
+			t.Errorf("got %+v, %v, want %d instances", got, err, want)
+		}
+		f.clock.Advance(defaultInstancesLagMillis * time.Millisecond)
+	}
+}
+
+func TestWeightsComeAtALimitedRate(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := newFixture(t)
+	store := NewWeights(f.clock, 1000, 120)
+	var got bytes.Buffer
+	done := make(chan error, 1)
+	go func() { done <- store.Copy(ctx, &got, "m", "v") }()
+	for _, step := range []time.Duration{50 * time.Millisecond, 20 * time.Millisecond} {
+		if err := f.clock.BlockUntilContext(ctx, 1); err != nil {
+			t.Fatal(err)
+		}
+		f.clock.Advance(step - time.Millisecond)
+		if err := f.clock.BlockUntilContext(ctx, 1); err != nil {
+			t.Fatal("weights came before their time", err)
+		}
+		f.clock.Advance(time.Millisecond)
+	}
+	if err := <-done; err != nil || got.Len() != 120 {
+		t.Errorf("got %d bytes, %v", got.Len(), err)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	f := newFixture(t)
+	order := wire.EndpointOrder{Order: "o", Domain: "d", Kind: "k", Count: 2}
+	f.control("/fault", wire.PlatformFault{Down: true, Paths: []string{"/endpoints"}})
+	if _, err := f.OrderEndpoints(t.Context(), order); status(err) != http.StatusServiceUnavailable {
+		t.Errorf("down: got %v", err)
+	}
+	if _, err := f.Read(t.Context(), "t", "k"); err != nil {
+		t.Errorf("a path without the fault got %v", err)
+	}
+	f.control("/fault", wire.PlatformFault{LoseAnswers: true})
+	if _, err := f.OrderEndpoints(t.Context(), order); err == nil || status(err) != 0 {
+		t.Errorf("lost answer: got %v", err)
+	}
+	f.control("/fault", wire.PlatformFault{})
+	if got := f.listed(); got != "e1 e2 " {
+		t.Errorf("the order without an answer took no effect: %q", got)
+	}
+	if got := fetch[wire.EndpointOrderList](f, "/received/orders"); len(got.Orders) != 1 {
+		t.Errorf("received %+v, want one order", got)
+	}
+}
+
+func TestADelayedCallTakesEffectAlthoughItsCallerLeft(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	f := newFixture(t)
+	f.control("/fault", wire.PlatformFault{DelayMillis: 1000, Paths: []string{"/usage"}})
+	callCtx, leave := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- f.ReportUsage(callCtx, wire.UsageReport{Window: 1}) }()
+	if err := f.clock.BlockUntilContext(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	if err := <-done; !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want the caller's own end", err)
+	}
+	f.clock.Advance(time.Second)
+	for len(fetch[wire.UsageReportList](f, "/received/usage").Reports) == 0 && ctx.Err() == nil {
+	}
+	if ctx.Err() != nil {
+		t.Error("the delayed report never arrived")
+	}
+}
--- /dev/null
+++ b/standin/platform/cmd_serve_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"cowslipshunt.example/shared/platform"
+	"cowslipshunt.example/shared/process"
+)
+
+// run starts the command line with a settings file and returns its log and its end.
+func run(ctx context.Context, t *testing.T, settings string) (*bufio.Scanner, <-chan error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "platform.toml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, w := io.Pipe()
+	root := newRootCommand()
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.SetErr(w)
+	root.SetArgs([]string{"serve", "--settings", file})
+	done := make(chan error, 1)
+	go func() {
+		done <- root.ExecuteContext(ctx)
+		w.Close()
+	}()
+	return bufio.NewScanner(r), done
+}
+
+func TestServeListensAndStops(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	lines, done := run(ctx, t, "Address='127.0.0.1:0'\nOperationsAddress='127.0.0.1:0'\n")
+	var line struct{ Address, OperationsAddress, Program string }
+	if !lines.Scan() {
+		t.Fatal("no line was logged: ", <-done)
+	}
+	if err := json.Unmarshal(lines.Bytes(), &line); err != nil || line.Program != "standin-platform" {
+		t.Fatalf("%s: %v", lines.Bytes(), err)
+	}
+	if _, err := platform.NewClient(line.Address).Read(ctx, "t", "k"); err != nil {
+		t.Error(err)
+	}
+	for _, path := range []string{"/readyz", "/healthz", "/metrics"} {
+		answer, err := http.Get("http://" + line.OperationsAddress + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode != http.StatusOK {
+			t.Errorf("%s: status %d", path, answer.StatusCode)
+		}
+	}
+	stop()
+	for lines.Scan() {
+	}
+	if err := <-done; err != nil {
+		t.Errorf("stopped with %v", err)
+	}
+}
+
+func TestServeRefusesBadSettings(t *testing.T) {
+	for _, text := range []string{
+		"", "Unknown=1\n", "Address='x'\nOperationsAddress='127.0.0.1:0'\n",
+		"Address='127.0.0.1:0'\nOperationsAddress='127.0.0.1:0'\nWeightBytesPerSecond=0\n",
+		"Address='127.0.0.1:0'\nOperationsAddress='127.0.0.1:0'\n[[Endpoint]]\nEndpoint='e'\nDomain='d'\nKind='k'\n",
+	} {
+		_, done := run(t.Context(), t, text)
+		if err := <-done; process.ExitCode(err) != process.ExitInput {
+			t.Errorf("%q: got %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/standin/platform/count.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+)
+
+// countCalls counts the calls of each route as they end, also those that a fault hits.
+func countCalls(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer countCall(r)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func countCall(r *http.Request) {
+	route := chi.RouteContext(r.Context()).RoutePattern()
+	if route == "" {
+		return
+	}
+	name := fmt.Sprintf(`standin_platform_calls_total{method=%q,route=%q}`, r.Method, route)
+	metrics.GetOrCreateCounter(name).Inc()
+}
--- /dev/null
+++ b/standin/platform/settings.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+
+	"cowslipshunt.example/shared/finding"
+	"cowslipshunt.example/shared/setting"
+	"cowslipshunt.example/wire"
+)
+
+// What an absent setting stands for.
+const (
+	defaultInstance             = "platform"
+	defaultLogLevel             = "info"
+	defaultInstancesLagMillis   = 500
+	defaultWeightBytesPerSecond = 64 << 20
+	defaultWeightBytes          = 1 << 20
+)
+
+// Settings are the settings of standin-platform.
+type Settings struct {
+	Address              string
+	OperationsAddress    string
+	Instance             string
+	LogLevel             string
+	InstancesLagMillis   int
+	WeightBytesPerSecond int
+	WeightBytes          int
+	Endpoint             []EndpointSetting
+}
+
+// EndpointSetting is one endpoint of the pool that can be ordered.
+type EndpointSetting struct {
+	Endpoint wire.EndpointId
+	Domain   wire.DomainName
+	Kind     wire.EndpointKindName
+	Address  string
+	// Ordered tells that the endpoint is running at the start.
+	Ordered bool
+}
+
+// NewSettings returns the defaults.
+func NewSettings() *Settings {
+	return &Settings{
+		Instance:             defaultInstance,
+		LogLevel:             defaultLogLevel,
+		InstancesLagMillis:   defaultInstancesLagMillis,
+		WeightBytesPerSecond: defaultWeightBytesPerSecond,
+		WeightBytes:          defaultWeightBytes,
+	}
+}
+
+// Check returns every finding.
+func (s *Settings) Check(p *setting.Places) finding.List {
+	c := &setting.Checks{Places: p}
+	c.Address("Address", s.Address)
+	c.Address("OperationsAddress", s.OperationsAddress)
+	c.Required("Instance", s.Instance)
+	c.Level("LogLevel", s.LogLevel)
+	atLeast(c, "InstancesLagMillis", s.InstancesLagMillis, 0)
+	atLeast(c, "WeightBytesPerSecond", s.WeightBytesPerSecond, 1)
+	atLeast(c, "WeightBytes", s.WeightBytes, 0)
+	s.checkEndpoints(c)
+	return c.List
+}
+
+func (s *Settings) checkEndpoints(c *setting.Checks) {
+	first := map[wire.EndpointId]int{}
+	for i, e := range s.Endpoint {
+		field := fmt.Sprintf("Endpoint[%d]", i)
+		e.check(c, field)
+		if n, ok := first[e.Endpoint]; ok {
+			c.Fail(field+".Endpoint", "%q is Endpoint[%d] already", e.Endpoint, n)
+			continue
+		}
+		first[e.Endpoint] = i
+	}
+}
+
+func (e EndpointSetting) check(c *setting.Checks, field string) {
+	c.Required(field+".Endpoint", string(e.Endpoint))
+	c.Required(field+".Domain", string(e.Domain))
+	c.Required(field+".Kind", string(e.Kind))
+	c.Address(field+".Address", e.Address)
+}
+
+func atLeast(c *setting.Checks, field string, value, least int) {
+	if value < least {
+		c.Fail(field, "%d is less than %d", value, least)
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -339,6 +339,12 @@
 	Leaving bool `json:"Leaving"`
 }
 
+// EndpointRef names the endpoint that a test control makes leave or vanish.
+type EndpointRef struct {
+	// Endpoint corresponds to the JSON schema field "Endpoint".
+	Endpoint EndpointId `json:"Endpoint"`
+}
+
 // EndpointState describes one endpoint as the holder of its domain's lease sees
 // it.
 type EndpointState struct {
@@ -808,6 +814,22 @@
 const OrderStatePending OrderState = "Pending"
 const OrderStateRefused OrderState = "Refused"
 
+// PlatformFault sets how the stand-in of the platform fails, on the path prefixes
+// in Paths or on all.
+type PlatformFault struct {
+	// DelayMillis corresponds to the JSON schema field "DelayMillis".
+	DelayMillis int `json:"DelayMillis"`
+
+	// Down corresponds to the JSON schema field "Down".
+	Down bool `json:"Down"`
+
+	// LoseAnswers corresponds to the JSON schema field "LoseAnswers".
+	LoseAnswers bool `json:"LoseAnswers"`
+
+	// Paths corresponds to the JSON schema field "Paths".
+	Paths []string `json:"Paths"`
+}
+
 type Program string
 
 const ProgramController Program = "Controller"
