Count bookings and keep what ran in the stand-in service

Cause: entries need a plain service whose runs can be counted, to judge that no request runs twice. Ruled out: counting refused requests as run; a fault that undoes a run (a closed connection has to hide a run, not take it back); httptest-only faults (trials against real processes need them too).

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -31,6 +31,25 @@
 	Why string `json:"Why"`
 }
 
+// BookingAnswer tells how often a booking ran; Confirmation is of the last run and
+// empty without one.
+type BookingAnswer struct {
+	// Booking corresponds to the JSON schema field "Booking".
+	Booking string `json:"Booking"`
+
+	// Confirmation corresponds to the JSON schema field "Confirmation".
+	Confirmation string `json:"Confirmation"`
+
+	// Runs corresponds to the JSON schema field "Runs".
+	Runs int `json:"Runs"`
+}
+
+// BookingRequest asks a stand-in service to confirm a booking.
+type BookingRequest struct {
+	// Booking corresponds to the JSON schema field "Booking".
+	Booking string `json:"Booking"`
+}
+
 // CacheEvent tells of prefix pieces that an engine stored or evicted.
 type CacheEvent struct {
 	// Kind corresponds to the JSON schema field "Kind".
@@ -395,6 +414,26 @@
 const EngineActionLoadModel EngineAction = "LoadModel"
 const EngineActionStop EngineAction = "Stop"
 
+// EngineFault tells a stand-in engine how to fail its requests; zero values are
+// off. A negative CrashAfterTokens or StallAfterTokens acts before the first
+// token. Once ends it with the first request that took it.
+type EngineFault struct {
+	// CrashAfterTokens corresponds to the JSON schema field "CrashAfterTokens".
+	CrashAfterTokens int `json:"CrashAfterTokens"`
+
+	// LateMillis corresponds to the JSON schema field "LateMillis".
+	LateMillis int `json:"LateMillis"`
+
+	// Once corresponds to the JSON schema field "Once".
+	Once bool `json:"Once"`
+
+	// StallAfterTokens corresponds to the JSON schema field "StallAfterTokens".
+	StallAfterTokens int `json:"StallAfterTokens"`
+
+	// WrongAttempt corresponds to the JSON schema field "WrongAttempt".
+	WrongAttempt bool `json:"WrongAttempt"`
+}
+
 // EngineLoad is an engine's lagging load report.
 type EngineLoad struct {
 	// At corresponds to the JSON schema field "At".
@@ -876,6 +915,37 @@
 	Table string `json:"Table"`
 }
 
+// ServiceEcho is a stand-in service's answer to a request that is no booking.
+type ServiceEcho struct {
+	// BodyBytes corresponds to the JSON schema field "BodyBytes".
+	BodyBytes int `json:"BodyBytes"`
+
+	// Method corresponds to the JSON schema field "Method".
+	Method string `json:"Method"`
+
+	// Path corresponds to the JSON schema field "Path".
+	Path string `json:"Path"`
+}
+
+// ServiceFault tells a stand-in service how to fail its requests; zero values are
+// off. Once ends it with the first request that took it.
+type ServiceFault struct {
+	// CloseAfterRun corresponds to the JSON schema field "CloseAfterRun".
+	CloseAfterRun bool `json:"CloseAfterRun"`
+
+	// CloseReused corresponds to the JSON schema field "CloseReused".
+	CloseReused bool `json:"CloseReused"`
+
+	// DelayMillis corresponds to the JSON schema field "DelayMillis".
+	DelayMillis int `json:"DelayMillis"`
+
+	// Once corresponds to the JSON schema field "Once".
+	Once bool `json:"Once"`
+
+	// Refuse corresponds to the JSON schema field "Refuse".
+	Refuse bool `json:"Refuse"`
+}
+
 // ServiceName names a plain service in the document.
 type ServiceName string
 
