--- /dev/null
+++ b/entry/answer/server.go
@@ -0,0 +1,333 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cowslipshunt.example/entry/visit"
+	"cowslipshunt.example/shared/caller"
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/shared/endpoint"
+	"cowslipshunt.example/shared/problem"
+	"cowslipshunt.example/shared/queue"
+	"cowslipshunt.example/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+)
+
+// Bounds of one request.
+const (
+	maxAttempts   = 4
+	maxBody       = 8 << 20
+	pauseAtMost   = 50 * time.Millisecond
+	retryAfter    = 2 * time.Second
+	tokensInPrice = 1000
+)
+
+// Bounds of all retries of one entry.
+const (
+	retriesPerSecond = 20
+	retryBurst       = 200
+)
+
+var (
+	answersWhole = metrics.NewCounter(`entry_answers_total{outcome="whole"}`)
+	answersCut   = metrics.NewCounter(`entry_answers_total{outcome="cut"}`)
+	answersGone  = metrics.NewCounter(`entry_answers_total{outcome="caller_gone"}`)
+	answersNone  = metrics.NewCounter(`entry_answers_total{outcome="refused"}`)
+	retries      = metrics.NewCounter("entry_retries_total")
+	retriesSpent = metrics.NewCounter("entry_retry_budget_spent_total")
+	firstToken   = metrics.NewHistogram("entry_first_token_seconds")
+)
+
+// Recorder bills requests.
+type Recorder interface {
+	// Record bills a request once and returns when a peer or the table holds the figure, or when that takes too long.
+	Record(ctx context.Context, f wire.UsageFigure)
+}
+
+// Forwarder sends a request to a peer in a failure domain that can serve it.
+type Forwarder interface {
+	// Forward answers the request, or tells that no peer could take it and nothing was written.
+	Forward(w http.ResponseWriter, r *http.Request, v *visit.Visit, body []byte) *problem.Problem
+}
+
+// Server answers model requests.
+type Server struct {
+	gate      *visit.Gate
+	directory *endpoint.Directory
+	queues    *queue.Set
+	recorder  Recorder
+	forwarder Forwarder
+	engines   http.RoundTripper
+	budget    *rate.Limiter
+	limits    Limits
+}
+
+// Limits are the times that a request may take.
+type Limits struct {
+	// Queue bounds the wait for a slot.
+	Queue time.Duration
+	// Stall bounds the time between two events of an engine.
+	Stall time.Duration
+	// Whole bounds the whole request.
+	Whole time.Duration
+}
+
+// NewServer returns a server of model requests.
+func NewServer(gate *visit.Gate, directory *endpoint.Directory, queues *queue.Set, recorder Recorder, forwarder Forwarder, limits Limits) *Server {
+	return &Server{
+		gate:      gate,
+		directory: directory,
+		queues:    queues,
+		recorder:  recorder,
+		forwarder: forwarder,
+		engines:   caller.NewTransport(limits.Stall),
+		budget:    rate.NewLimiter(retriesPerSecond, retryBurst),
+		limits:    limits,
+	}
+}
+
+// ServeChat answers POST /v1/chat/completions.
+func (s *Server) ServeChat(w http.ResponseWriter, r *http.Request) {
+	s.serveCaller(w, r, true)
+}
+
+// ServeCompletion answers POST /v1/completions.
+func (s *Server) ServeCompletion(w http.ResponseWriter, r *http.Request) {
+	s.serveCaller(w, r, false)
+}
+
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request, chat bool) {
+	v, p := s.gate.Enter(r, func(*document.Accepted) bool { return false })
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	s.serve(w, r, v, chat)
+}
+
+// ServeForwarded answers a model request that a peer let in.
+func (s *Server) ServeForwarded(w http.ResponseWriter, r *http.Request, chat bool) {
+	v, p := s.gate.EnterForwarded(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	s.serve(w, r, v, chat)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, v *visit.Visit, chat bool) {
+	defer v.Leave()
+	w.Header().Set(caller.HeaderRequest, string(v.Request))
+	if p := s.answer(w, r, v, chat); p != nil {
+		p.Request = v.Request
+		answersNone.Inc()
+		v.Log.Info().Str("Workspace", string(v.Workspace.Name)).Int("Status", p.Status).Str("Outcome", string(p.Outcome)).Str("Detail", p.Detail).Msg("model request refused")
+		p.Write(w)
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, v *visit.Visit, chat bool) *problem.Problem {
+	data, p := caller.ReadBody(w, r, maxBody)
+	if p != nil {
+		return p
+	}
+	if caller.Holds(string(data), v.Key) {
+		return problem.New(http.StatusBadRequest, problem.NotRun, "the body holds the key")
+	}
+	q, p := parse(data, chat)
+	if p != nil {
+		return p
+	}
+	model, p := s.permitted(v, q)
+	if p != nil {
+		return p
+	}
+	q.limitOutput(model.MaxOutput)
+	if endpoint.Suited(s.directory.View().Model(model.Name), endpoint.Need{}) == 0 && !v.Forwarded {
+		return s.forwarder.Forward(w, r, v, data)
+	}
+	x := s.newExchange(w, r, v, q)
+	ctx, cancel := context.WithTimeout(r.Context(), s.limits.Whole)
+	defer cancel()
+	return s.run(ctx, v, model, x)
+}
+
+func (s *Server) permitted(v *visit.Visit, q *request) (document.Model, *problem.Problem) {
+	model, known := v.Accepted.Index.ModelNamed(q.fields.Model)
+	if known {
+		for _, name := range v.Workspace.Models {
+			if name == model.Name {
+				return model, nil
+			}
+		}
+	}
+	return model, problem.New(http.StatusNotFound, problem.NotRun, "model %q is not in force for this workspace", q.fields.Model)
+}
+
+func (s *Server) newExchange(w http.ResponseWriter, r *http.Request, v *visit.Visit, q *request) *exchange {
+	header := caller.CleanHeader(r.Header, v.Key)
+	header.Del("Content-Length")
+	header.Del("Accept-Encoding")
+	x := &exchange{request: v.Request, workspace: v.Workspace.Name, query: q, header: header}
+	id := newIdentity(v.Request, q.chat, time.Now(), q.fields.Model)
+	control := http.NewResponseController(w)
+	if q.fields.Stream {
+		x.sink = &streamSink{w: w, control: control, identity: id, includeUsage: q.fields.StreamOptions.IncludeUsage}
+	} else {
+		x.sink = &wholeSink{w: w, control: control, identity: id, chat: q.chat}
+	}
+	return x
+}
+
+// run tries engines until the answer is whole, then bills it.
+func (s *Server) run(ctx context.Context, v *visit.Visit, model document.Model, x *exchange) *problem.Problem {
+	started := time.Now()
+	var failed []wire.EndpointId
+	for {
+		e, err := s.slot(ctx, v, model, x, failed)
+		if err != nil {
+			return s.give(ctx, v, model, x, s.queueRefusal(x, err))
+		}
+		result := x.try(ctx, s.engines, e, s.limits.Stall)
+		e.Release()
+		s.queues.Get(string(model.Name)).Wake()
+		if result == nil {
+			e.Worked()
+			firstToken.UpdateDuration(started)
+			return s.finish(ctx, v, model, x)
+		}
+		if stop := s.failed(ctx, v, x, e, result); stop != nil {
+			return s.give(ctx, v, model, x, stop)
+		}
+		failed = append(failed, e.State().Endpoint)
+	}
+}
+
+// slot waits for a slot at an engine, one that has not failed this request if there is any.
+func (s *Server) slot(ctx context.Context, v *visit.Visit, model document.Model, x *exchange, failed []wire.EndpointId) (*endpoint.Endpoint, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Queue)
+	defer cancel()
+	estimate := cost(model, x.query.estimate(), x.query.maxOutput())
+	if x.attempt > 0 {
+		estimate = 0
+	}
+	return s.queues.Get(string(model.Name)).Acquire(ctx, v.Workspace.Name, v.Workspace.Weight, queue.Service(estimate), func() *endpoint.Endpoint {
+		list := s.directory.View().Model(model.Name)
+		now := time.Now()
+		if e := endpoint.Choose(list, endpoint.Need{Not: failed}, now, random); e != nil {
+			return e
+		}
+		if len(failed) == 0 {
+			return nil
+		}
+		return endpoint.Choose(list, endpoint.Need{}, now, random)
+	})
+}
+
+// failed judges a failed attempt: it returns nil if another one may follow.
+func (s *Server) failed(ctx context.Context, v *visit.Visit, x *exchange, e *endpoint.Endpoint, result *attemptError) *problem.Problem {
+	v.Log.Warn().Err(result).Str("Endpoint", string(e.State().Endpoint)).Int("Attempt", x.attempt).Int("Delivered", len(x.delivered)).Msg("attempt failed")
+	if result.Refusal != nil {
+		return result.Refusal
+	}
+	if result.Caller || ctx.Err() != nil {
+		return x.refusal(http.StatusGatewayTimeout, "the request ended: %v", context.Cause(ctx))
+	}
+	e.Failed(time.Now())
+	if x.attempt >= maxAttempts {
+		return x.refusal(http.StatusBadGateway, "%d attempts failed", x.attempt)
+	}
+	if !s.budget.Allow() {
+		retriesSpent.Inc()
+		return x.refusal(http.StatusServiceUnavailable, "this entry's budget of retries is spent")
+	}
+	retries.Inc()
+	pause(ctx, rand.N(pauseAtMost))
+	return nil
+}
+
+func (s *Server) queueRefusal(x *exchange, err error) *problem.Problem {
+	if errors.Is(err, queue.ErrFull) {
+		return x.refusal(http.StatusTooManyRequests, "%v", err)
+	}
+	return x.refusal(http.StatusServiceUnavailable, "no engine was free in time")
+}
+
+// refusal says truly whether an engine may have run the request.
+func (x *exchange) refusal(status int, format string, args ...any) *problem.Problem {
+	outcome := problem.NotRun
+	if x.reached {
+		outcome = problem.Unknown
+	}
+	return problem.New(status, outcome, format, args...).After(retryAfter)
+}
+
+// finish bills a whole answer before its end is sent.
+func (s *Server) finish(ctx context.Context, v *visit.Visit, model document.Model, x *exchange) *problem.Problem {
+	s.bill(ctx, v, model, x)
+	if err := x.sink.end(x.usage); err != nil {
+		answersGone.Inc()
+		v.Log.Info().Err(err).Msg("the caller left before the answer's end")
+		panic(http.ErrAbortHandler)
+	}
+	answersWhole.Inc()
+	v.Log.Info().Str("Workspace", string(v.Workspace.Name)).Str("Model", string(model.Name)).Int("Attempts", x.attempt).
+		Int("PromptTokens", int(x.usage.Prompt)).Int("OutputTokens", int(x.usage.Completion)).Msg("answered")
+	return nil
+}
+
+// give ends an answer that cannot be made whole. If the caller has got some of it, its connection is aborted, so that the
+// answer cannot be taken for a whole one. A caller who left is billed for what it got; a caller whom the system failed is
+// not billed.
+func (s *Server) give(ctx context.Context, v *visit.Visit, model document.Model, x *exchange, p *problem.Problem) *problem.Problem {
+	gone := errors.Is(context.Cause(ctx), context.Canceled)
+	if gone && len(x.delivered) > 0 {
+		x.usage.Completion = wire.TokenCount(len(x.delivered))
+		s.bill(context.WithoutCancel(ctx), v, model, x)
+	}
+	if gone {
+		answersGone.Inc()
+	}
+	if !x.sink.begun() {
+		return p
+	}
+	answersCut.Inc()
+	v.Log.Warn().Str("Detail", p.Detail).Int("Delivered", len(x.delivered)).Msg("answer cut")
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) bill(ctx context.Context, v *visit.Visit, model document.Model, x *exchange) {
+	charged := cost(model, x.usage.Prompt, x.usage.Completion)
+	guessed := cost(model, x.query.estimate(), x.query.maxOutput())
+	s.queues.Get(string(model.Name)).Charge(v.Workspace.Name, queue.Service(charged-guessed))
+	s.recorder.Record(ctx, wire.UsageFigure{
+		Workspace:    v.Workspace.Name,
+		Model:        model.Name,
+		Requests:     1,
+		PromptTokens: x.usage.Prompt,
+		OutputTokens: x.usage.Completion,
+		Cost:         charged,
+	})
+}
+
+// cost prices tokens, rounded up to a whole unit.
+func cost(m document.Model, prompt, output wire.TokenCount) wire.CostMicros {
+	total := int(prompt)*int(m.PromptPrice) + int(output)*int(m.OutputPrice)
+	return wire.CostMicros((total + tokensInPrice - 1) / tokensInPrice)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+var random = endpoint.NewRandom()
--- /dev/null
+++ b/entry/billing/recorder.go
@@ -0,0 +1,238 @@
+// Package billing keeps an entry's usage safe: a peer holds the newest totals before an answer ends, the table gets them
+// every few seconds, and what a dead peer left behind is written for it.
+package billing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cowslipshunt.example/shared/channel"
+	"cowslipshunt.example/shared/usage"
+	"cowslipshunt.example/wire"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+)
+
+// Topics of this package's messages.
+const (
+	TopicTotals = "UsageTotals"
+	TopicHeld   = "UsageHeld"
+	TopicStored = "UsageStored"
+)
+
+// Times of keeping usage safe.
+const (
+	holdWithin  = 300 * time.Millisecond
+	resendAfter = 100 * time.Millisecond
+	storeEvery  = 3 * time.Second
+	rescueEvery = time.Second
+	rescueAfter = 3 * time.Second
+)
+
+var (
+	heldInTime = metrics.NewCounter(`entry_usage_held_total{outcome="held"}`)
+	notHeld    = metrics.NewCounter(`entry_usage_held_total{outcome="late"}`)
+)
+
+// Recorder bills requests of one incarnation.
+type Recorder struct {
+	self   wire.Hello
+	meter  *usage.Meter
+	held   *usage.Held
+	store  *rows
+	hub    *channel.Hub
+	clock  clockwork.Clock
+	logger *log.Logger
+	kick   chan struct{}
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	safe   int
+	stored int
+	waits  map[chan struct{}]int
+	peer   wire.InstanceName
+	peerAt int
+	absent map[wire.InstanceName]time.Time
+}
+
+// New returns a recorder that runs until ctx ends.
+func New(ctx context.Context, self wire.Hello, table Table, hub *channel.Hub, clock clockwork.Clock, logger *log.Logger) *Recorder {
+	r := &Recorder{
+		self:   self,
+		meter:  usage.NewMeter(self.Incarnation),
+		held:   usage.NewHeld(),
+		store:  &rows{table: table},
+		hub:    hub,
+		clock:  clock,
+		logger: logger,
+		kick:   make(chan struct{}, 1),
+		waits:  map[chan struct{}]int{},
+		absent: map[wire.InstanceName]time.Time{},
+	}
+	r.every(ctx, resendAfter, r.kick, func(context.Context) { r.sendToPeer() })
+	r.every(ctx, storeEvery, nil, func(ctx context.Context) { r.storeOwn(ctx, false) })
+	r.every(ctx, rescueEvery, nil, r.rescue)
+	return r
+}
+
+// every runs f again and again until ctx ends: after each interval, and at once when kicked.
+func (r *Recorder) every(ctx context.Context, interval time.Duration, kick <-chan struct{}, f func(context.Context)) {
+	r.done.Add(1)
+	go func() {
+		defer r.done.Done()
+		for ctx.Err() == nil {
+			select {
+			case <-kick:
+			case <-r.clock.After(interval):
+			case <-ctx.Done():
+				return
+			}
+			f(ctx)
+		}
+	}()
+}
+
+// Route adds the handlers of this package's topics.
+func (r *Recorder) Route(router *message.Router) {
+	channel.Handle(router, r.hub, TopicTotals, r.takeTotals)
+	channel.Handle(router, r.hub, TopicHeld, r.takeHeld)
+	channel.Handle(router, r.hub, TopicStored, r.takeStored)
+}
+
+// Record bills a request and waits until a peer or the table has the figure, but not for long: with no peer in reach, the
+// answer goes out and the figure is only here until the table gets it.
+func (r *Recorder) Record(ctx context.Context, f wire.UsageFigure) {
+	sequence := r.meter.Add(f)
+	safe := make(chan struct{})
+	r.mu.Lock()
+	if r.safe >= sequence {
+		r.mu.Unlock()
+		return
+	}
+	r.waits[safe] = sequence
+	r.mu.Unlock()
+	defer r.forget(safe)
+	r.wake()
+	select {
+	case <-safe:
+		heldInTime.Inc()
+	case <-r.clock.After(holdWithin):
+		notHeld.Inc()
+	case <-ctx.Done():
+	}
+}
+
+func (r *Recorder) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Recorder) forget(safe chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waits, safe)
+}
+
+// secured notes that everything up to a sequence number is safe.
+func (r *Recorder) secured(sequence int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.safe = max(r.safe, sequence)
+	for safe, waited := range r.waits {
+		if waited <= r.safe {
+			close(safe)
+			delete(r.waits, safe)
+		}
+	}
+}
+
+// sendToPeer sends what changed since the peer's last confirmation. A peer that is new to this gets everything.
+func (r *Recorder) sendToPeer() {
+	peer := r.choosePeer()
+	if peer == "" {
+		return
+	}
+	r.mu.Lock()
+	from := r.peerAt
+	r.mu.Unlock()
+	if from >= r.meter.Sequence() {
+		return
+	}
+	if err := channel.Send(r.hub, peer, TopicTotals, r.meter.Since(from)); err != nil {
+		r.logger.Debug().Err(err).Str("Peer", string(peer)).Msg("cannot send usage")
+	}
+}
+
+// choosePeer returns the linked entry of this failure domain whose name comes next, so that load spreads.
+func (r *Recorder) choosePeer() wire.InstanceName {
+	var next, first wire.InstanceName
+	for _, hello := range r.hub.Links() {
+		if hello.Program != wire.ProgramEntry || hello.Domain != r.self.Domain {
+			continue
+		}
+		name := hello.Instance
+		if first == "" || name < first {
+			first = name
+		}
+		if name > r.self.Instance && (next == "" || name < next) {
+			next = name
+		}
+	}
+	if next == "" {
+		next = first
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if next != r.peer {
+		r.peer, r.peerAt = next, 0
+	}
+	return next
+}
+
+func (r *Recorder) takeTotals(_ context.Context, from wire.InstanceName, totals wire.UsageTotals) error {
+	if !r.held.Take(from, totals) {
+		return nil
+	}
+	return channel.Send(r.hub, from, TopicHeld, wire.UsageHeld{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
+}
+
+func (r *Recorder) takeHeld(_ context.Context, from wire.InstanceName, held wire.UsageHeld) error {
+	if held.Incarnation != r.self.Incarnation {
+		return nil
+	}
+	r.mu.Lock()
+	if from == r.peer {
+		r.peerAt = max(r.peerAt, held.Sequence)
+	}
+	r.mu.Unlock()
+	r.secured(held.Sequence)
+	if r.meter.Sequence() > held.Sequence {
+		r.wake()
+	}
+	return nil
+}
+
+func (r *Recorder) takeStored(_ context.Context, _ wire.InstanceName, stored wire.UsageStored) error {
+	r.held.Stored(stored.Incarnation, stored.Sequence)
+	return nil
+}
+
+// Close writes the last totals; it returns an error if the table did not take them before ctx ended.
+func (r *Recorder) Close(ctx context.Context) error {
+	r.done.Wait()
+	for {
+		if r.storeOwn(ctx, true) {
+			return nil
+		}
+		select {
+		case <-r.clock.After(resendAfter):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/entry/operator/show.go
@@ -0,0 +1,181 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowslipshunt.example/shared/problem"
+	"cowslipshunt.example/wire"
+)
+
+// Bounds of a list.
+const (
+	scanLimit    = 1000
+	defaultLimit = 200
+	maxLimit     = 10000
+)
+
+var errNoDocument = errors.New("there is no such document")
+
+// load returns an accepted document; version zero is the newest.
+func (s *Server) load(ctx context.Context, version wire.DocumentVersion) (wire.DocumentAnswer, error) {
+	key := keyCurrent
+	if version > 0 {
+		key = versionKey(version)
+	}
+	rows, err := s.store.Read(ctx, tableDocument, key)
+	if err != nil {
+		return wire.DocumentAnswer{}, err
+	}
+	if len(rows) == 0 {
+		return wire.DocumentAnswer{}, errNoDocument
+	}
+	var row wire.DocumentRow
+	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+		return wire.DocumentAnswer{}, err
+	}
+	text, err := s.store.GetObject(ctx, row.Digest)
+	if err != nil {
+		return wire.DocumentAnswer{}, err
+	}
+	return wire.DocumentAnswer{Version: row.Version, Digest: row.Digest, Who: row.Who, Why: row.Why, At: row.At, Text: string(text)}, nil
+}
+
+func (s *Server) showDocument(w http.ResponseWriter, r *http.Request, _ string) {
+	version, err := number(r, "version", 0)
+	if err != nil {
+		problem.New(http.StatusBadRequest, problem.NotRun, "version: %v", err).Write(w)
+		return
+	}
+	answer, err := s.load(r.Context(), wire.DocumentVersion(version))
+	switch {
+	case errors.Is(err, errNoDocument):
+		problem.New(http.StatusNotFound, problem.NotRun, "%v", err).Write(w)
+	case err != nil:
+		storeFailed(w, err)
+	default:
+		reply(w, http.StatusOK, answer)
+	}
+}
+
+func (s *Server) showHistory(w http.ResponseWriter, r *http.Request, _ string) {
+	s.showEntries(w, r, func(a wire.AuditRow) bool { return a.What == whatDocument })
+}
+
+func (s *Server) showAudit(w http.ResponseWriter, r *http.Request, _ string) {
+	s.showEntries(w, r, func(wire.AuditRow) bool { return true })
+}
+
+// showEntries answers with the newest audit entries of a sort, in order.
+func (s *Server) showEntries(w http.ResponseWriter, r *http.Request, wanted func(wire.AuditRow) bool) {
+	limit, err := number(r, "limit", defaultLimit)
+	if err != nil || limit < 1 || limit > maxLimit {
+		problem.New(http.StatusBadRequest, problem.NotRun, "limit is no number from 1 to %d", maxLimit).Write(w)
+		return
+	}
+	var after time.Time
+	if text := r.URL.Query().Get("after"); text != "" {
+		if after, err = time.Parse(time.RFC3339Nano, text); err != nil {
+			problem.New(http.StatusBadRequest, problem.NotRun, "after: %v", err).Write(w)
+			return
+		}
+	}
+	entries, err := scan[wire.AuditRow](r.Context(), s, tableAudit)
+	if err != nil {
+		storeFailed(w, err)
+		return
+	}
+	list := wire.AuditList{Entries: []wire.AuditRow{}}
+	for _, entry := range entries {
+		if wanted(entry) && entry.At.After(after) {
+			list.Entries = append(list.Entries, entry)
+		}
+	}
+	if len(list.Entries) > limit {
+		list.Entries = list.Entries[len(list.Entries)-limit:]
+	}
+	reply(w, http.StatusOK, list)
+}
+
+func (s *Server) showOrders(w http.ResponseWriter, r *http.Request, _ string) {
+	orders, err := scan[wire.OrderRow](r.Context(), s, "order")
+	if err != nil {
+		storeFailed(w, err)
+		return
+	}
+	reply(w, http.StatusOK, wire.OrderList{Orders: orders})
+}
+
+func (s *Server) showUsage(w http.ResponseWriter, r *http.Request, _ string) {
+	windows, err := scan[wire.WindowRow](r.Context(), s, "window")
+	if err != nil {
+		storeFailed(w, err)
+		return
+	}
+	reply(w, http.StatusOK, wire.WindowList{Windows: windows})
+}
+
+func (s *Server) showStatus(w http.ResponseWriter, r *http.Request, _ string) {
+	versions, _ := s.control.Applied()
+	linked := map[wire.InstanceName]bool{s.self.Instance: true}
+	for _, hello := range s.linked() {
+		linked[hello.Instance] = true
+	}
+	answer := wire.StatusAnswer{
+		Instance:        s.self.Instance,
+		Domain:          s.self.Domain,
+		DocumentVersion: s.current.Version(),
+		Instances: []wire.InstanceStatus{{
+			Instance: s.self.Instance, Domain: s.self.Domain, Program: wire.ProgramEntry, Connected: true, DocumentVersion: s.current.Version(),
+		}},
+		Endpoints: s.directory.States().Endpoints,
+		Leases:    []wire.LeaseRow{},
+	}
+	for _, p := range s.peers {
+		answer.Instances = append(answer.Instances, wire.InstanceStatus{
+			Instance: p.Instance, Domain: p.Domain, Program: wire.ProgramEntry, Connected: linked[p.Instance], DocumentVersion: versions[p.Instance],
+		})
+	}
+	if answer.Endpoints == nil {
+		answer.Endpoints = []wire.EndpointState{}
+	}
+	if leases, err := scan[wire.LeaseRow](r.Context(), s, "lease"); err == nil {
+		answer.Leases = leases
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+// scan returns every row of a table, decoded, in key order.
+func scan[T any](ctx context.Context, s *Server, table string) ([]T, error) {
+	list := []T{}
+	after := ""
+	for {
+		rows, err := s.store.Scan(ctx, table, "", after, scanLimit)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			var v T
+			if err := json.Unmarshal(row.Value, &v); err != nil {
+				return nil, err
+			}
+			list = append(list, v)
+			after = row.Key
+		}
+		if len(rows) < scanLimit {
+			return list, nil
+		}
+	}
+}
+
+func number(r *http.Request, name string, otherwise int) (int, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	return strconv.Atoi(text)
+}
--- /dev/null
+++ b/entry/operator/submit.go
@@ -0,0 +1,251 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"cowslipshunt.example/entry/follower"
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/shared/finding"
+	"cowslipshunt.example/shared/problem"
+	"cowslipshunt.example/wire"
+	"github.com/google/uuid"
+)
+
+// Times and sizes of a submission.
+const (
+	maxDocument   = 8 << 20
+	acceptWithin  = 10 * time.Second
+	repeatAfter   = 100 * time.Millisecond
+	confirmWithin = 5 * time.Second
+)
+
+// Audit trail.
+const (
+	tableAudit      = "audit"
+	whatDocument    = "DocumentAccepted"
+	tableDocument   = follower.Table
+	keyCurrent      = follower.KeyCurrent
+	auditKeyPattern = "%020d-%s"
+)
+
+// errLost says that another submission was accepted first.
+var errLost = errors.New("another document was accepted first")
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, who string) {
+	var request wire.SubmitRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxDocument)).Decode(&request); err != nil {
+		problem.New(http.StatusBadRequest, problem.NotRun, "the body does not decode: %v", err).Write(w)
+		return
+	}
+	if _, err := document.Parse(request.File, []byte(request.Text)); err != nil {
+		refuseDocument(w, err)
+		return
+	}
+	if request.Why == "" {
+		problem.New(http.StatusBadRequest, problem.NotRun, "Why is missing").Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), acceptWithin)
+	defer cancel()
+	row, err := s.accept(ctx, request, who)
+	switch {
+	case errors.Is(err, errLost):
+		s.showConflict(ctx, w, request.BaseVersion)
+	case err != nil:
+		problem.New(http.StatusServiceUnavailable, problem.Unknown, "the store did not say whether it took the document: %v", err).After(storeRetryAfter).Write(w)
+	default:
+		s.logger.Info().Str("Who", who).Str("Why", request.Why).Int("Version", int(row.Version)).Msg("document accepted")
+		s.taker.Take(row.Version, row.Digest, []byte(request.Text))
+		reply(w, http.StatusOK, s.confirmed(r.Context(), row))
+	}
+}
+
+func refuseDocument(w http.ResponseWriter, err error) {
+	var findings finding.List
+	if !errors.As(err, &findings) {
+		problem.New(http.StatusBadRequest, problem.NotRun, "%v", err).Write(w)
+		return
+	}
+	list := wire.FindingList{Findings: []wire.FindingRow{}}
+	for _, f := range findings {
+		list.Findings = append(list.Findings, wire.FindingRow{File: f.File, Line: f.Line, Column: f.Column, Field: f.Field, Text: f.Text})
+	}
+	reply(w, http.StatusUnprocessableEntity, list)
+}
+
+// accept makes the submission the newest document, in one transaction with its audit entry. It repeats a write whose answer
+// was lost, and finds its own row if the write took effect.
+func (s *Server) accept(ctx context.Context, request wire.SubmitRequest, who string) (wire.DocumentRow, error) {
+	row := wire.DocumentRow{
+		Version: request.BaseVersion + 1,
+		Digest:  document.Digest([]byte(request.Text)),
+		Who:     who,
+		Why:     request.Why,
+		At:      s.clock.Now().UTC(),
+	}
+	for {
+		err := s.tryAccept(ctx, request, row)
+		if err == nil || errors.Is(err, errLost) {
+			return row, err
+		}
+		select {
+		case <-s.clock.After(repeatAfter):
+		case <-ctx.Done():
+			return row, err
+		}
+	}
+}
+
+func (s *Server) tryAccept(ctx context.Context, request wire.SubmitRequest, row wire.DocumentRow) error {
+	if err := s.store.PutObject(ctx, row.Digest, []byte(request.Text)); err != nil {
+		return err
+	}
+	current, revision, err := s.currentRow(ctx)
+	if err != nil {
+		return err
+	}
+	if current.Version != request.BaseVersion {
+		return s.lostOrOwn(ctx, row)
+	}
+	writes, err := acceptWrites(row)
+	if err != nil {
+		return err
+	}
+	answer, err := s.store.Transact(ctx, wire.TransactRequest{
+		Checks: []wire.Check{{Table: tableDocument, Key: keyCurrent, Revision: revision}},
+		Writes: writes,
+	})
+	if err != nil {
+		return err
+	}
+	if !answer.Committed {
+		return s.lostOrOwn(ctx, row)
+	}
+	return nil
+}
+
+// lostOrOwn tells a lost race from an own write whose answer was lost.
+func (s *Server) lostOrOwn(ctx context.Context, row wire.DocumentRow) error {
+	rows, err := s.store.Read(ctx, tableDocument, versionKey(row.Version))
+	if err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		return errLost
+	}
+	var there wire.DocumentRow
+	if err := json.Unmarshal(rows[0].Value, &there); err != nil {
+		return err
+	}
+	if there.Digest == row.Digest && there.Who == row.Who && there.At.Equal(row.At) {
+		return nil
+	}
+	return errLost
+}
+
+func (s *Server) currentRow(ctx context.Context) (wire.DocumentRow, wire.Revision, error) {
+	var row wire.DocumentRow
+	rows, err := s.store.Read(ctx, tableDocument, keyCurrent)
+	if err != nil || len(rows) == 0 {
+		return row, 0, err
+	}
+	return row, rows[0].Revision, json.Unmarshal(rows[0].Value, &row)
+}
+
+func acceptWrites(row wire.DocumentRow) ([]wire.Write, error) {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return nil, err
+	}
+	audit, err := json.Marshal(wire.AuditRow{
+		At:              row.At,
+		Who:             row.Who,
+		What:            whatDocument,
+		Why:             row.Why,
+		Subject:         string(row.Digest),
+		DocumentVersion: row.Version,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return []wire.Write{
+		{Table: tableDocument, Key: keyCurrent, Value: value},
+		{Table: tableDocument, Key: versionKey(row.Version), Value: value},
+		{Table: tableAudit, Key: fmt.Sprintf(auditKeyPattern, row.At.UnixNano(), uuid.NewString()), Value: audit},
+	}, nil
+}
+
+func versionKey(v wire.DocumentVersion) string {
+	return fmt.Sprintf("version/%010d", int(v))
+}
+
+// confirmed waits a while for every instance and tells which failure domains have the version in force.
+func (s *Server) confirmed(ctx context.Context, row wire.DocumentRow) wire.SubmitAnswer {
+	deadline := s.clock.After(confirmWithin)
+	for {
+		versions, changed := s.control.Applied()
+		answer := s.sortDomains(row, versions)
+		if len(answer.Unconfirmed) == 0 {
+			return answer
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return answer
+		case <-ctx.Done():
+			return answer
+		}
+	}
+}
+
+func (s *Server) sortDomains(row wire.DocumentRow, versions map[wire.InstanceName]wire.DocumentVersion) wire.SubmitAnswer {
+	behind := map[wire.DomainName]bool{s.self.Domain: versions[s.self.Instance] < row.Version}
+	for _, p := range s.peers {
+		behind[p.Domain] = behind[p.Domain] || versions[p.Instance] < row.Version
+	}
+	answer := wire.SubmitAnswer{Version: row.Version, Digest: row.Digest, Confirmed: []wire.DomainName{}, Unconfirmed: []wire.DomainName{}}
+	for domain, late := range behind {
+		if late {
+			answer.Unconfirmed = append(answer.Unconfirmed, domain)
+		} else {
+			answer.Confirmed = append(answer.Confirmed, domain)
+		}
+	}
+	slices.Sort(answer.Confirmed)
+	slices.Sort(answer.Unconfirmed)
+	return answer
+}
+
+// showConflict answers the loser of a race with what has changed since its base.
+func (s *Server) showConflict(ctx context.Context, w http.ResponseWriter, base wire.DocumentVersion) {
+	current, _, err := s.currentRow(ctx)
+	if err != nil {
+		storeFailed(w, err)
+		return
+	}
+	conflict := wire.SubmitConflict{CurrentVersion: current.Version, Difference: []string{}}
+	before, errBefore := s.parsed(ctx, base)
+	now, errNow := s.parsed(ctx, current.Version)
+	if errBefore == nil && errNow == nil {
+		conflict.Difference = append(conflict.Difference, document.Difference(before, now)...)
+	}
+	reply(w, http.StatusConflict, conflict)
+}
+
+// parsed returns an accepted document; version zero is an empty one.
+func (s *Server) parsed(ctx context.Context, version wire.DocumentVersion) (*document.Document, error) {
+	if version == 0 {
+		return &document.Document{}, nil
+	}
+	answer, err := s.load(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	return document.Parse(versionKey(version), []byte(answer.Text))
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"cowslipshunt.example/entry/answer"
+	"cowslipshunt.example/entry/billing"
+	"cowslipshunt.example/entry/follower"
+	"cowslipshunt.example/entry/operator"
+	"cowslipshunt.example/entry/peer"
+	"cowslipshunt.example/entry/service"
+	"cowslipshunt.example/entry/visit"
+	"cowslipshunt.example/shared/booking"
+	"cowslipshunt.example/shared/channel"
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/shared/endpoint"
+	"cowslipshunt.example/shared/platform"
+	"cowslipshunt.example/shared/process"
+	"cowslipshunt.example/shared/queue"
+	"cowslipshunt.example/wire"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+)
+
+// flushWithin bounds the last write of usage at a stop.
+const flushWithin = 30 * time.Second
+
+// program is a running entry.
+type program struct {
+	cfg        *settings
+	logger     *log.Logger
+	operations *process.Operations
+	hub        *channel.Hub
+	gate       *visit.Gate
+	answers    *answer.Server
+	services   *service.Server
+	operators  *operator.Server
+	recorder   *billing.Recorder
+	current    *document.Current
+}
+
+// serve runs an entry until ctx ends and everything in progress is done.
+func serve(ctx context.Context, cfg *settings, logger *log.Logger) error {
+	background, stop := context.WithCancel(process.Hard(ctx))
+	defer stop()
+	p, err := newProgram(ctx, background, cfg, logger)
+	if err != nil {
+		return err
+	}
+	defer p.hub.Close()
+	err = p.listen(ctx, background)
+	stop()
+	p.services.Wait()
+	flush, cancel := context.WithTimeout(process.Hard(ctx), flushWithin)
+	defer cancel()
+	if flushErr := p.recorder.Close(flush); flushErr != nil {
+		err = errors.Join(err, &process.CutError{What: fmt.Sprintf("usage that the table does not have: %v", flushErr)})
+	}
+	logger.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// newProgram puts the parts together. What ends at the first signal runs on ctx; what the last requests still need runs on
+// background.
+func newProgram(ctx, background context.Context, cfg *settings, logger *log.Logger) (*program, error) {
+	clock := clockwork.NewRealClock()
+	self := wire.Hello{Instance: cfg.Instance, Incarnation: wire.IncarnationId(uuid.NewString()), Domain: cfg.Domain, Program: wire.ProgramEntry}
+	store := platform.NewClient(cfg.Platform, platform.WithTimeout(millis(cfg.StoreTimeoutMillis)))
+	p := &program{cfg: cfg, logger: logger, operations: process.NewOperations(), hub: channel.NewHub(self, logger)}
+	queues := queue.NewSet(background, clock)
+	p.current = document.NewCurrent()
+	directory := endpoint.NewDirectory(endpoint.WithLimits(p.limitOf), endpoint.WithChanged(queues.Wake))
+	router, err := channel.NewRouter(logger)
+	if err != nil {
+		return nil, err
+	}
+	follow := follower.New(background, self, p.current, store, p.hub, clock, logger)
+	p.current.OnChange(func(a *document.Accepted) {
+		p.operations.SetReady(ctx.Err() == nil)
+		follow.Announce(a)
+	})
+	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
+	p.gate = visit.NewGate(p.current, follow, cfg.MaxRequests, logger)
+	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, follow, clock, logger)
+	forwarder := peer.NewForwarder(self, p.peers(), millis(cfg.StallMillis))
+	claims := booking.NewClaims(store, self.Incarnation, clock)
+	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, p.answerLimits())
+	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, p.serviceLimits())
+	p.operators = operator.NewServer(operator.Parts{
+		Self: self, Operators: p.operatorList(), Peers: p.peers(), Store: store, Current: p.current, Taker: follow,
+		Control: control, Directory: directory, Linked: p.hub.Links, Clock: clock, Logger: logger,
+	})
+	follow.Route(router)
+	control.Route(router)
+	p.recorder.Route(router)
+	go func() {
+		if err := router.Run(background); err != nil {
+			logger.Error().Err(err).Msg("router ended")
+		}
+	}()
+	<-router.Running()
+	follow.Start()
+	for _, known := range cfg.Peer {
+		p.hub.Dial(background, known.Address)
+	}
+	return p, nil
+}
+
+// limitOf returns how many requests this entry may have in flight at an endpoint of a kind.
+func (p *program) limitOf(name wire.EndpointKindName) int {
+	a := p.current.Load()
+	if a == nil {
+		return 0
+	}
+	kind, _ := a.Index.KindNamed(name)
+	return kind.Concurrency
+}
+
+func (p *program) peers() []peer.Address {
+	var list []peer.Address
+	for _, known := range p.cfg.Peer {
+		list = append(list, peer.Address{Instance: known.Instance, Domain: known.Domain, Address: known.Address})
+	}
+	return list
+}
+
+func (p *program) operatorList() []operator.Operator {
+	var list []operator.Operator
+	for _, o := range p.cfg.Operator {
+		list = append(list, operator.Operator{Name: o.Name, TokenDigest: o.TokenDigest})
+	}
+	return list
+}
+
+func (p *program) answerLimits() answer.Limits {
+	return answer.Limits{Queue: millis(p.cfg.QueueMillis), Stall: millis(p.cfg.StallMillis), Whole: millis(p.cfg.WholeMillis)}
+}
+
+func (p *program) serviceLimits() service.Limits {
+	return service.Limits{
+		Queue:  millis(p.cfg.QueueMillis),
+		Answer: millis(p.cfg.StallMillis),
+		Whole:  millis(p.cfg.WholeMillis),
+		Claim:  millis(p.cfg.ClaimMillis),
+		Store:  millis(p.cfg.StoreMillis),
+	}
+}
+
+// callerRoutes returns the callers' interface.
+func (p *program) callerRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Post("/v1/chat/completions", p.answers.ServeChat)
+	router.Post("/v1/completions", p.answers.ServeCompletion)
+	router.Get("/v1/models", p.answers.ServeModels)
+	router.HandleFunc("/services/{service}/*", p.services.ServeHTTP)
+	return router
+}
+
+// peerRoutes returns the interface for peers and the holder of the domain's lease.
+func (p *program) peerRoutes() http.Handler {
+	router := chi.NewRouter()
+	router.Handle("/control", p.hub)
+	router.Route(peer.PathForward, func(router chi.Router) {
+		router.Post("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { p.answers.ServeForwarded(w, r, true) })
+		router.Post("/v1/completions", func(w http.ResponseWriter, r *http.Request) { p.answers.ServeForwarded(w, r, false) })
+		router.HandleFunc("/services/{service}/*", p.services.ServeForwarded)
+	})
+	return router
+}
+
+// listen serves every address until ctx ends and the requests in progress are done.
+func (p *program) listen(ctx, background context.Context) error {
+	serving, leave := context.WithCancel(context.WithoutCancel(ctx))
+	defer leave()
+	group, _ := errgroup.WithContext(background)
+	listeners := []struct {
+		address string
+		handler http.Handler
+		until   context.Context
+	}{
+		{p.cfg.Address, p.callerRoutes(), serving},
+		{p.cfg.OperatorAddress, p.operators.Router(), serving},
+		{p.cfg.PeerAddress, p.peerRoutes(), serving},
+		{p.cfg.OperationsAddress, p.operations.Router, background},
+	}
+	for _, l := range listeners {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		if l.until == background {
+			go func() { _ = process.Serve(background, process.NewServer(l.handler), listener, time.Second) }()
+			continue
+		}
+		group.Go(func() error {
+			return process.Serve(l.until, process.NewServer(l.handler), listener, millis(p.cfg.StopMillis))
+		})
+	}
+	p.logger.Info().Str("Address", p.cfg.Address).Str("Domain", string(p.cfg.Domain)).Msg("serving")
+	<-ctx.Done()
+	p.operations.SetReady(false)
+	p.logger.Info().Int("Inside", int(p.gate.Inside())).Msg("stopping")
+	select {
+	case <-time.After(millis(p.cfg.LeaveMillis)):
+	case <-process.Hard(ctx).Done():
+	}
+	leave()
+	return p.cutError(group.Wait())
+}
+
+// cutError says what a shutdown ended before it was done.
+func (p *program) cutError(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return &process.CutError{What: fmt.Sprintf("%d requests", p.gate.Inside())}
+	}
+	return err
+}
--- /dev/null
+++ b/entry/service/server.go
@@ -0,0 +1,236 @@
+// Package service passes requests on to plain services, those that may not be repeated at most once.
+package service
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"cowslipshunt.example/entry/visit"
+	"cowslipshunt.example/shared/booking"
+	"cowslipshunt.example/shared/caller"
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/shared/endpoint"
+	"cowslipshunt.example/shared/problem"
+	"cowslipshunt.example/shared/queue"
+	"cowslipshunt.example/wire"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+)
+
+// Bounds of one request.
+const (
+	maxBody     = 8 << 20
+	maxAttempts = 3
+	retryAfter  = 2 * time.Second
+)
+
+var (
+	passed  = metrics.NewCounter(`entry_service_total{outcome="passed"}`)
+	refused = metrics.NewCounter(`entry_service_total{outcome="refused"}`)
+	cut     = metrics.NewCounter(`entry_service_total{outcome="cut"}`)
+	stored  = metrics.NewCounter(`entry_service_total{outcome="stored_answer"}`)
+)
+
+// Recorder bills requests.
+type Recorder interface {
+	// Record bills a request once and returns when a peer or the table holds the figure, or when that takes too long.
+	Record(ctx context.Context, f wire.UsageFigure)
+}
+
+// Forwarder sends a request to a peer in a failure domain that can serve it.
+type Forwarder interface {
+	// Forward answers the request, or tells that no peer could take it and nothing was written.
+	Forward(w http.ResponseWriter, r *http.Request, v *visit.Visit, body []byte) *problem.Problem
+}
+
+// Limits are the times that a request may take.
+type Limits struct {
+	// Queue bounds the wait for a slot.
+	Queue time.Duration
+	// Answer bounds the wait for an endpoint's answer to begin.
+	Answer time.Duration
+	// Whole bounds the exchange with an endpoint for a claimed request.
+	Whole time.Duration
+	// Claim bounds the wait for the table before a request with an Idempotency-Key is sent.
+	Claim time.Duration
+	// Store bounds the wait for the table before such a request's answer is given.
+	Store time.Duration
+}
+
+// Server passes requests on to plain services.
+type Server struct {
+	gate      *visit.Gate
+	directory *endpoint.Directory
+	queues    *queue.Set
+	claims    *booking.Claims
+	recorder  Recorder
+	forwarder Forwarder
+	kept      http.RoundTripper
+	once      http.RoundTripper
+	limits    Limits
+
+	hard     context.Context
+	settling sync.WaitGroup
+}
+
+// NewServer returns a server of plain services. Claims that are still open when it stops are written until hard ends.
+func NewServer(hard context.Context, gate *visit.Gate, directory *endpoint.Directory, queues *queue.Set, claims *booking.Claims, recorder Recorder, forwarder Forwarder, limits Limits) *Server {
+	return &Server{
+		gate:      gate,
+		directory: directory,
+		queues:    queues,
+		claims:    claims,
+		recorder:  recorder,
+		forwarder: forwarder,
+		kept:      caller.NewTransport(limits.Answer),
+		once:      caller.NewOnceTransport(limits.Answer),
+		limits:    limits,
+		hard:      hard,
+	}
+}
+
+// Wait returns when the last state of every claim is written or given up.
+func (s *Server) Wait() {
+	s.settling.Wait()
+}
+
+// call is one request to a plain service.
+type call struct {
+	visit   *visit.Visit
+	service wire.ServiceName
+	route   document.Route
+	path    string
+	body    []byte
+	r       *http.Request
+	// ctx bounds the exchange with the endpoint.
+	ctx context.Context
+}
+
+// ServeHTTP answers /services/{service}/….
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service, path := target(r)
+	v, p := s.gate.Enter(r, func(a *document.Accepted) bool {
+		return a.Index.RouteFor(service, r.Method, path).Open
+	})
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	s.serve(w, r, v, service, path)
+}
+
+// ServeForwarded answers a request that a peer let in.
+func (s *Server) ServeForwarded(w http.ResponseWriter, r *http.Request) {
+	v, p := s.gate.EnterForwarded(r)
+	if p != nil {
+		p.Write(w)
+		return
+	}
+	service, path := target(r)
+	s.serve(w, r, v, service, path)
+}
+
+func target(r *http.Request) (wire.ServiceName, string) {
+	return wire.ServiceName(chi.URLParam(r, "service")), "/" + chi.URLParam(r, "*")
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, v *visit.Visit, service wire.ServiceName, path string) {
+	defer v.Leave()
+	w.Header().Set(caller.HeaderRequest, string(v.Request))
+	c := &call{visit: v, service: service, path: path, r: r, ctx: r.Context(), route: v.Accepted.Index.RouteFor(service, r.Method, path)}
+	if p := s.answer(w, c); p != nil {
+		p.Request = v.Request
+		refused.Inc()
+		v.Log.Info().Str("Service", string(service)).Int("Status", p.Status).Str("Outcome", string(p.Outcome)).Str("Detail", p.Detail).Msg("service request refused")
+		p.Write(w)
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, c *call) *problem.Problem {
+	if p := c.check(); p != nil {
+		return p
+	}
+	body, p := caller.ReadBody(w, c.r, maxBody)
+	if p != nil {
+		return p
+	}
+	if caller.Holds(string(body), c.visit.Key) {
+		return problem.New(http.StatusBadRequest, problem.NotRun, "the body holds the key")
+	}
+	c.body = body
+	if c.keyed() && !c.visit.Forwarded {
+		return s.answerClaimed(w, c)
+	}
+	return s.answerOnce(w, c)
+}
+
+// check refuses what must not be sent on.
+func (c *call) check() *problem.Problem {
+	if !c.permitted() {
+		return problem.New(http.StatusNotFound, problem.NotRun, "service %q is not in force for this workspace", c.service)
+	}
+	if caller.Holds(c.r.URL.Path, c.visit.Key) {
+		return problem.New(http.StatusBadRequest, problem.NotRun, "the path holds the key")
+	}
+	if !document.PlainPath(c.path) {
+		return problem.New(http.StatusBadRequest, problem.NotRun, "the path has empty or dot segments")
+	}
+	return nil
+}
+
+func (c *call) permitted() bool {
+	if c.route.Open {
+		return true
+	}
+	for _, name := range c.visit.Workspace.Services {
+		if name == c.service {
+			return true
+		}
+	}
+	return false
+}
+
+// keyed tells whether the request needs a claim: it may not be repeated and its caller may send it again.
+func (c *call) keyed() bool {
+	return !c.route.Repeatable && c.r.Header.Get(caller.HeaderIdempotency) != ""
+}
+
+// answerOnce passes a request on that no claim guards.
+func (s *Server) answerOnce(w http.ResponseWriter, c *call) *problem.Problem {
+	if s.elsewhere(c) {
+		return s.forwarder.Forward(w, c.r, c.visit, c.body)
+	}
+	answer, e, p := s.send(c)
+	if p != nil {
+		return p
+	}
+	defer s.wake(c)
+	defer e.Release()
+	defer answer.Body.Close()
+	s.record(c)
+	s.copy(w, c, answer)
+	return nil
+}
+
+// elsewhere tells whether another failure domain has to serve the request.
+func (s *Server) elsewhere(c *call) bool {
+	return !c.visit.Forwarded && endpoint.Suited(s.directory.View().Service(c.service), c.need()) == 0
+}
+
+func (c *call) need() endpoint.Need {
+	return endpoint.Need{Steady: !c.route.Repeatable}
+}
+
+func (s *Server) record(c *call) {
+	if c.visit.Workspace.Name == "" {
+		return
+	}
+	s.recorder.Record(c.r.Context(), wire.UsageFigure{
+		Workspace: c.visit.Workspace.Name,
+		Model:     wire.ModelName(c.service),
+		Requests:  1,
+		Cost:      c.route.Price,
+	})
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"cowslipshunt.example/shared/finding"
+	"cowslipshunt.example/shared/setting"
+	"cowslipshunt.example/wire"
+)
+
+// settings are one entry's settings.
+type settings struct {
+	Instance wire.InstanceName
+	Domain   wire.DomainName
+	LogLevel string
+
+	// Address is where callers connect.
+	Address string
+	// OperatorAddress serves the operators' interface.
+	OperatorAddress string
+	// PeerAddress serves peers and the holder of the domain's lease.
+	PeerAddress string
+	// OperationsAddress serves metrics and health.
+	OperationsAddress string
+	// Platform is the platform's address.
+	Platform string
+
+	Peer     []peerSettings
+	Operator []operatorSettings
+
+	// MaxRequests bounds the requests inside; zero is 4096.
+	MaxRequests int
+	// QueueMillis bounds a request's wait for an endpoint.
+	QueueMillis int
+	// StallMillis bounds the time between two events of an engine, and the wait for an answer's first byte.
+	StallMillis int
+	// WholeMillis bounds a whole request.
+	WholeMillis int
+	// ClaimMillis bounds the wait for the table before a request with an Idempotency-Key is refused.
+	ClaimMillis int
+	// StoreMillis bounds the wait for the table before such a request's answer is given.
+	StoreMillis int
+	// StoreTimeoutMillis bounds each call of the platform.
+	StoreTimeoutMillis int
+	// StopMillis bounds a graceful shutdown.
+	StopMillis int
+	// LeaveMillis is how long the entry still takes callers after it stopped being ready, for the balancer to move on.
+	LeaveMillis int
+}
+
+type peerSettings struct {
+	Instance wire.InstanceName
+	Domain   wire.DomainName
+	Address  string
+}
+
+type operatorSettings struct {
+	Name        string
+	TokenDigest wire.Digest
+}
+
+// Defaults of settings that are zero.
+const (
+	defaultMaxRequests        = 4096
+	defaultQueueMillis        = 10_000
+	defaultStallMillis        = 10_000
+	defaultWholeMillis        = 600_000
+	defaultClaimMillis        = 2_000
+	defaultStoreMillis        = 1_000
+	defaultStoreTimeoutMillis = 2_000
+	defaultStopMillis         = 600_000
+	defaultLeaveMillis        = 0
+)
+
+// Check returns every finding of the settings.
+func (s *settings) Check(p *setting.Places) finding.List {
+	c := &setting.Checks{Places: p}
+	c.Required("Instance", string(s.Instance))
+	c.Required("Domain", string(s.Domain))
+	c.Level("LogLevel", s.LogLevel)
+	c.Address("Address", s.Address)
+	c.Address("OperatorAddress", s.OperatorAddress)
+	c.Address("PeerAddress", s.PeerAddress)
+	c.Address("OperationsAddress", s.OperationsAddress)
+	c.Address("Platform", s.Platform)
+	for i, peer := range s.Peer {
+		c.Required(fmt.Sprintf("Peer[%d].Instance", i), string(peer.Instance))
+		c.Required(fmt.Sprintf("Peer[%d].Domain", i), string(peer.Domain))
+		c.Address(fmt.Sprintf("Peer[%d].Address", i), peer.Address)
+		if peer.Instance == s.Instance {
+			c.Fail(fmt.Sprintf("Peer[%d].Instance", i), "an instance is no peer of its own")
+		}
+	}
+	for i, o := range s.Operator {
+		c.Required(fmt.Sprintf("Operator[%d].Name", i), o.Name)
+		if !strings.HasPrefix(string(o.TokenDigest), "sha256:") {
+			c.Fail(fmt.Sprintf("Operator[%d].TokenDigest", i), "is no sha256: digest")
+		}
+	}
+	s.checkNumbers(c)
+	return c.List
+}
+
+func (s *settings) checkNumbers(c *setting.Checks) {
+	numbers := []struct {
+		field     string
+		value     *int
+		otherwise int
+	}{
+		{"MaxRequests", &s.MaxRequests, defaultMaxRequests},
+		{"QueueMillis", &s.QueueMillis, defaultQueueMillis},
+		{"StallMillis", &s.StallMillis, defaultStallMillis},
+		{"WholeMillis", &s.WholeMillis, defaultWholeMillis},
+		{"ClaimMillis", &s.ClaimMillis, defaultClaimMillis},
+		{"StoreMillis", &s.StoreMillis, defaultStoreMillis},
+		{"StoreTimeoutMillis", &s.StoreTimeoutMillis, defaultStoreTimeoutMillis},
+		{"StopMillis", &s.StopMillis, defaultStopMillis},
+		{"LeaveMillis", &s.LeaveMillis, defaultLeaveMillis},
+	}
+	for _, n := range numbers {
+		if *n.value < 0 {
+			c.Fail(n.field, "%d is negative", *n.value)
+		}
+		if *n.value == 0 {
+			*n.value = n.otherwise
+		}
+	}
+}
+
+func millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/shared/caller/caller_test.go
@@ -0,0 +1,84 @@
+package caller_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/shared/caller"
+	"pgregory.net/rapid"
+)
+
+func TestCleanHeaderHoldsNoKeyInAnyForm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.StringMatching(`[A-Za-z0-9_+/=-]{12,20}`).Draw(t, "key")
+		forms := []string{key, "Bearer " + key, "x" + key + "y", url.QueryEscape(key), strings.ToUpper(key)}
+		in := http.Header{}
+		for range rapid.IntRange(1, 6).Draw(t, "fields") {
+			name := rapid.SampledFrom([]string{"Authorization", "X-Api-Key", "X-Other", "Cookie", "Workspace", "Attempt"}).Draw(t, "name")
+			in.Add(name, rapid.SampledFrom(append(forms, "harmless", "a=b; s="+key)).Draw(t, "value"))
+		}
+		out := caller.CleanHeader(in, key)
+		for name, values := range out {
+			for _, value := range values {
+				plain, _ := url.QueryUnescape(value)
+				for _, text := range []string{value, plain} {
+					if strings.Contains(strings.ToLower(text), strings.ToLower(key)) {
+						t.Fatalf("%s still holds the key: %q", name, value)
+					}
+				}
+			}
+		}
+		if out.Get("Workspace") != "" || out.Get("Attempt") != "" {
+			t.Fatalf("a caller's copy of our header was kept: %v", out)
+		}
+		query := caller.CleanQuery("a=1&k="+url.QueryEscape(key)+"&b=2", key)
+		if query != "a=1&b=2" {
+			t.Fatalf("query %q", query)
+		}
+	})
+}
+
+// TestOnceBodyIsNeverReplayed runs requests against a service that runs each request and closes the connection without an
+// answer whenever the connection was used before.
+func TestOnceBodyIsNeverReplayed(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		for _, body := range []string{"", "booking"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				runs := runOnReusedConnection(t, method, body)
+				if runs != 2 {
+					t.Errorf("two requests ran %d times", runs)
+				}
+			})
+		}
+	}
+}
+
+func runOnReusedConnection(t *testing.T, method, body string) int64 {
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer server.Close()
+	transport := caller.NewTransport(time.Minute)
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		r, err := http.NewRequestWithContext(t.Context(), method, server.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Idempotency-Key", "k")
+		caller.SetOnceBody(r, []byte(body))
+		if answer, err := transport.RoundTrip(r); err == nil {
+			answer.Body.Close()
+		}
+	}
+	return runs.Load()
+}
--- /dev/null
+++ b/shared/queue/fair.go
@@ -0,0 +1,93 @@
+// Package queue holds requests that wait for a slot and serves workspaces fairly by the service they received.
+package queue
+
+import (
+	"container/list"
+
+	"cowslipshunt.example/wire"
+)
+
+// Service is an amount of service: tokens weighed by their price, or requests.
+type Service float64
+
+// flow is one workspace's place in the queue.
+type flow struct {
+	weight  float64
+	served  Service
+	waiting *list.List
+}
+
+// fair orders waiting requests: next is the oldest request of the workspace with the least service for its weight. A
+// workspace that comes back from idle does not keep its old lead: it starts level with the least served that wait.
+type fair struct {
+	flows map[wire.WorkspaceName]*flow
+	total int
+	floor Service
+}
+
+func newFair() *fair {
+	return &fair{flows: map[wire.WorkspaceName]*flow{}}
+}
+
+func (f *fair) flow(name wire.WorkspaceName) *flow {
+	fl, known := f.flows[name]
+	if !known {
+		fl = &flow{weight: 1, waiting: list.New()}
+		f.flows[name] = fl
+	}
+	return fl
+}
+
+func (f *fair) push(r *request) {
+	fl := f.flow(r.workspace)
+	fl.weight = max(float64(r.weight), 1)
+	if fl.waiting.Len() == 0 {
+		fl.served = max(fl.served, f.floor)
+	}
+	r.place = fl.waiting.PushBack(r)
+	f.total++
+}
+
+// head returns the next request without removing it, or nil.
+func (f *fair) head() *request {
+	var least *flow
+	for _, fl := range f.flows {
+		if fl.waiting.Len() == 0 {
+			continue
+		}
+		if least == nil || before(fl, least) {
+			least = fl
+		}
+	}
+	if least == nil {
+		return nil
+	}
+	f.floor = max(f.floor, least.served)
+	return least.waiting.Front().Value.(*request)
+}
+
+// before breaks ties by arrival.
+func before(a, b *flow) bool {
+	if a.served != b.served {
+		return a.served < b.served
+	}
+	return a.waiting.Front().Value.(*request).number < b.waiting.Front().Value.(*request).number
+}
+
+func (f *fair) remove(r *request) {
+	fl := f.flows[r.workspace]
+	fl.waiting.Remove(r.place)
+	f.total--
+}
+
+func (f *fair) charge(name wire.WorkspaceName, amount Service) {
+	fl := f.flow(name)
+	fl.served += amount / Service(fl.weight)
+}
+
+func (f *fair) waiting(name wire.WorkspaceName) int {
+	if fl, known := f.flows[name]; known {
+		return fl.waiting.Len()
+	}
+	return 0
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -173,8 +173,12 @@
 	Version DocumentVersion `json:"Version"`
 }
 
-// DocumentNotice tells that a document version is in force at the sender.
+// DocumentNotice tells that a document version is in force at the sender, and how
+// long ago the table confirmed it as the newest.
 type DocumentNotice struct {
+	// ConfirmedAgoMillis corresponds to the JSON schema field "ConfirmedAgoMillis".
+	ConfirmedAgoMillis int `json:"ConfirmedAgoMillis"`
+
 	// Digest corresponds to the JSON schema field "Digest".
 	Digest Digest `json:"Digest"`
 
