Give operators a command line, its pages and an example document

Cause: operators need to check, submit and see the document, and to issue and withdraw keys, without writing HTTP by hand.

Ruled out: cobra's own page generator, as it makes a page per command and needs two more modules; repeating a submission whose answer was lost, as it may have taken effect; following redirects, which would carry the token to another place. Errors tell their exit code by ProcessCode, not ExitCode, which exec.ExitError has too.

Conclusion: commands print as recorded against a stand-in of the entry's interface, and the built program exits with 0, 1, 2 and 4 as documented. Not yet run against a real entry.

--- /dev/null
+++ b/cowslipshunt/cmd_document_history.go
@@ -0,0 +1,24 @@
+package main
+
+import "github.com/spf13/cobra"
+
+func newDocumentHistoryCommand(s *session) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "history",
+		Short: "show who submitted which version and why",
+		Args:  input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := s.client()
+			if err != nil {
+				return err
+			}
+			answer, err := client.History(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return printAudit(cmd, answer)
+		},
+	}
+	addJSONFlag(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cowslipshunt/cmd_document_show.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"io"
+
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/wire"
+	"github.com/spf13/cobra"
+)
+
+func newDocumentShowCommand(s *session) *cobra.Command {
+	version := 0
+	cmd := &cobra.Command{
+		Use:   "show [--version N]",
+		Short: "show an accepted document",
+		Long:  "Show an accepted document: its text goes to standard output, its version to standard error.",
+		Args:  input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if version < 0 {
+				return inputError("--version: %d is negative", version)
+			}
+			return showDocument(cmd, s, wire.DocumentVersion(version))
+		},
+	}
+	cmd.Flags().IntVar(&version, "version", 0, "version `N` to show; 0 is the one in force")
+	addJSONFlag(cmd)
+	return cmd
+}
+
+func showDocument(cmd *cobra.Command, s *session, version wire.DocumentVersion) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Document(cmd.Context(), version)
+	if err != nil {
+		return err
+	}
+	return printAnswer(cmd, answer, func(w io.Writer) error {
+		remark(cmd, "version %d, digest %s, by %s at %s: %s", answer.Version,
+			document.ShortDigest(answer.Digest), cell(answer.Who), cell(answer.At), cell(answer.Why))
+		_, err := io.WriteString(w, answer.Text)
+		return err
+	})
+}
--- /dev/null
+++ b/cowslipshunt/cmd_orders.go
@@ -0,0 +1,34 @@
+package main
+
+import "github.com/spf13/cobra"
+
+func newOrdersCommand(s *session) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "orders",
+		Short: "show the orders to engines and for endpoints",
+		Args:  input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return showOrders(cmd, s)
+		},
+	}
+	addJSONFlag(cmd)
+	return cmd
+}
+
+func showOrders(cmd *cobra.Command, s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	answer, err := client.Orders(cmd.Context())
+	if err != nil {
+		return err
+	}
+	t := &table{}
+	t.add("AT", "ORDER", "DOMAIN", "STATE", "ACTION", "ENDPOINT", "KIND", "COUNT", "MODEL", "ROLE", "HOLDER", "EPOCH", "WHY")
+	for _, o := range answer.Orders {
+		t.add(o.At, o.Order, o.Domain, o.State, o.Action, o.Endpoint, o.Kind, o.Count,
+			versioned(o.Model, o.ModelVersion), o.Role, o.Holder, o.Epoch, o.Why)
+	}
+	return printAnswer(cmd, answer, t.write)
+}
--- /dev/null
+++ b/shared/console/client_test.go
@@ -0,0 +1,102 @@
+package console_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/shared/console"
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/shared/process"
+	"cowslipshunt.example/wire"
+)
+
+// answering returns a client of an entry that gives one answer, and the requests it got.
+func answering(t *testing.T, status int, body string) (*console.Client, *[]string) {
+	t.Helper()
+	var got []string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = append(got, r.Method+" "+r.URL.String()+" "+r.Header.Get("Authorization"))
+		w.WriteHeader(status)
+		fmt.Fprint(w, body)
+	}))
+	t.Cleanup(srv.Close)
+	return console.NewClient(strings.TrimPrefix(srv.URL, "http://"), "secret", console.WithTimeout(5*time.Second)), &got
+}
+
+func TestSubmitTellsRefusalsApart(t *testing.T) {
+	tests := []struct {
+		status       int
+		body, want   string
+		code         int
+		mayHaveTaken bool
+	}{
+		{409, `{"CurrentVersion":8,"Difference":["model a: removed"]}`,
+			"conflict: version 8 is in force; since the base version:\n  model a: removed", process.ExitConflict, false},
+		{422, `{"Findings":[{"File":"f","Line":3,"Column":1,"Field":"Model[0].Name","Text":"is missing"}]}`,
+			"f:3:1: Model[0].Name: is missing", process.ExitInput, false},
+		{401, `{"title":"unknown token","detail":"ask for one"}`,
+			"entry refused: status 401: unknown token: ask for one", process.ExitFailure, false},
+		{409, `gone wrong`, "entry refused: status 409: Conflict", process.ExitFailure, false},
+		{302, ``, "entry refused: status 302: Found", process.ExitFailure, false},
+		{503, `{"title":"no platform"}`, "the submission may have taken effect, see the document's history: " +
+			"entry refused: status 503: no platform", process.ExitFailure, true},
+	}
+	for _, test := range tests {
+		client, got := answering(t, test.status, test.body)
+		_, err := client.Submit(context.Background(), wire.SubmitRequest{})
+		var unsure *console.UnsureError
+		if err == nil || err.Error() != test.want || process.ExitCode(err) != test.code || errors.As(err, &unsure) != test.mayHaveTaken {
+			t.Errorf("status %d: got %v, exit code %d", test.status, err, process.ExitCode(err))
+		}
+		if want := []string{"POST /v1/document Bearer secret"}; len(*got) != 1 || (*got)[0] != want[0] {
+			t.Errorf("requests %v, want %v", *got, want)
+		}
+	}
+}
+
+func TestSubmitIsUnsureOnlyOnceItIsSent(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	client := console.NewClient(strings.TrimPrefix(srv.URL, "http://"), "secret")
+	var unsure *console.UnsureError
+	if _, err := client.Submit(context.Background(), wire.SubmitRequest{}); !errors.As(err, &unsure) {
+		t.Errorf("an answer cut off: %v", err)
+	}
+	srv.Close()
+	if _, err := client.Submit(context.Background(), wire.SubmitRequest{}); err == nil || errors.As(err, &unsure) {
+		t.Errorf("no listener: %v", err)
+	}
+}
+
+func TestDocumentChecksTheDigest(t *testing.T) {
+	body := `{"Version":7,"Text":"","Digest":%q,"At":"2026-01-02T03:04:05Z","Who":"","Why":""}`
+	client, got := answering(t, 200, fmt.Sprintf(body, document.Digest(nil)))
+	if answer, err := client.Document(context.Background(), 7); err != nil || answer.Version != 7 {
+		t.Errorf("got %v, %v", answer, err)
+	}
+	if (*got)[0] != "GET /v1/document?version=7 Bearer secret" {
+		t.Errorf("asked %v", *got)
+	}
+	client, _ = answering(t, 200, fmt.Sprintf(body, document.Digest([]byte("other"))))
+	if _, err := client.Document(context.Background(), 0); err == nil {
+		t.Error("a text without its digest was taken")
+	}
+}
+
+func TestAuditSendsItsBounds(t *testing.T) {
+	client, got := answering(t, 200, `{"Entries":[]}`)
+	at := time.Date(2026, 1, 2, 3, 4, 5, 6, time.FixedZone("", 36000))
+	if _, err := client.Audit(context.Background(), at, 5); err != nil {
+		t.Fatal(err)
+	}
+	if (*got)[0] != "GET /v1/audit?after=2026-01-01T17%3A04%3A05.000000006Z&limit=5 Bearer secret" {
+		t.Errorf("asked %v", *got)
+	}
+}
--- /dev/null
+++ b/shared/console/errors.go
@@ -0,0 +1,108 @@
+package console
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"cowslipshunt.example/shared/finding"
+	"cowslipshunt.example/shared/process"
+	"cowslipshunt.example/wire"
+)
+
+// ConflictError says that another document came into force since the base version; nothing was changed.
+type ConflictError struct {
+	Conflict wire.SubmitConflict
+}
+
+// Error names the version in force and, one a line, what has changed since the base version.
+func (e *ConflictError) Error() string {
+	text := fmt.Sprintf("conflict: version %d is in force", e.Conflict.CurrentVersion)
+	if len(e.Conflict.Difference) == 0 {
+		return text
+	}
+	return text + "; since the base version:\n  " + strings.Join(e.Conflict.Difference, "\n  ")
+}
+
+// ProcessCode is process.ExitConflict.
+func (e *ConflictError) ProcessCode() int {
+	return process.ExitConflict
+}
+
+// FindingsError says what is wrong with a submitted document; nothing was changed.
+type FindingsError struct {
+	List finding.List
+}
+
+// Error writes one finding a line.
+func (e *FindingsError) Error() string {
+	return e.List.Error()
+}
+
+// Unwrap returns the findings.
+func (e *FindingsError) Unwrap() error {
+	return e.List
+}
+
+// ProblemError is any other refusal, in the terms of RFC 9457. Below status 500 nothing was changed.
+type ProblemError struct {
+	Status int    `json:"-"`
+	Title  string `json:"title"`
+	Detail string `json:"detail"`
+}
+
+// Error names the status, the title and the detail.
+func (e *ProblemError) Error() string {
+	text := fmt.Sprintf("entry refused: status %d", e.Status)
+	for _, part := range []string{e.Title, e.Detail} {
+		if part != "" {
+			text += ": " + part
+		}
+	}
+	return text
+}
+
+// UnsureError says that a submission's answer was lost, so that it may have taken effect.
+type UnsureError struct {
+	Err error
+}
+
+// Error tells how to find out.
+func (e *UnsureError) Error() string {
+	return fmt.Sprintf("the submission may have taken effect, see the document's history: %v", e.Err)
+}
+
+// Unwrap returns what happened to the call.
+func (e *UnsureError) Unwrap() error {
+	return e.Err
+}
+
+func refusal(status int, body []byte) error {
+	switch status {
+	case http.StatusConflict:
+		e := &ConflictError{}
+		if json.Unmarshal(body, &e.Conflict) == nil && e.Conflict.CurrentVersion > 0 {
+			return e
+		}
+	case http.StatusUnprocessableEntity:
+		var rows wire.FindingList
+		if json.Unmarshal(body, &rows) == nil && len(rows.Findings) > 0 {
+			return &FindingsError{List: findings(rows)}
+		}
+	}
+	e := &ProblemError{}
+	if json.Unmarshal(body, e) != nil || e.Title == "" {
+		e.Title = http.StatusText(status)
+	}
+	e.Status = status
+	return e
+}
+
+func findings(rows wire.FindingList) finding.List {
+	list := make(finding.List, 0, len(rows.Findings))
+	for _, f := range rows.Findings {
+		list = append(list, finding.Finding{File: f.File, Line: f.Line, Column: f.Column, Field: f.Field, Text: f.Text})
+	}
+	return list
+}
--- a/shared/process/main.go
+++ b/shared/process/main.go
@@ -21,6 +21,8 @@
 	ExitInput = 2
 	// ExitCut is for a shutdown that had to end work before it was done.
 	ExitCut = 3
+	// ExitConflict is for a change that lost a race; nothing was changed.
+	ExitConflict = 4
 )
 
 // Version is set by the linker.
@@ -51,6 +53,13 @@
 	return e.Err
 }
 
+// Coder is an error that knows its exit code.
+type Coder interface {
+	error
+	// ProcessCode is the process's exit code.
+	ProcessCode() int
+}
+
 type hardKey struct{}
 
 // Hard returns a context that ends at the second signal, when a graceful shutdown has to be cut short.
@@ -86,6 +95,16 @@
 func Main(root *cobra.Command) int {
 	ctx, cancel := WithSignals(context.Background())
 	defer cancel()
+	Prepare(root)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	return ExitCode(err)
+}
+
+// Prepare gives a command line what all programs share: the version command, and errors that Main prints.
+func Prepare(root *cobra.Command) {
 	root.SilenceErrors = true
 	root.SilenceUsage = true
 	root.Version = Version
@@ -93,11 +112,6 @@
 		return &InputError{Err: err}
 	})
 	root.AddCommand(newVersionCommand(root.Name()))
-	err := root.ExecuteContext(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	return ExitCode(err)
 }
 
 // ExitCode maps an error to an exit code.
@@ -105,9 +119,12 @@
 	var findings finding.List
 	var input *InputError
 	var cut *CutError
+	var coder Coder
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.As(err, &coder):
+		return coder.ProcessCode()
 	case errors.As(err, &findings), errors.As(err, &input):
 		return ExitInput
 	case errors.As(err, &cut):
