--- a/cowslipshunt/cmd_key.go
+++ b/cowslipshunt/cmd_key.go
@@ -5,7 +5,7 @@
 )
 
 func newKeyCommand(s *session) *cobra.Command {
-	return group("key", "issue and withdraw keys", newKeyIssueCommand(s), newKeyWithdrawCommand(s))
+	return group("key", "issue and withdraw keys", newKeyIssueCommand(s), newKeyWithdrawCommand(s), newKeyNewCommand(), newKeyDigestCommand())
 }
 
 // addKeyFlags adds the flags that both key commands need.
--- /dev/null
+++ b/cowslipshunt/cmd_key_digest.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"strings"
+
+	"cowslipshunt.example/shared/document"
+	"cowslipshunt.example/shared/process"
+	"github.com/spf13/cobra"
+)
+
+var errNoKey = errors.New("no key on standard input")
+
+func newKeyDigestCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "digest",
+		Short: "print the digest of a key or token",
+		Long:  "Print the digest of the key or token on the first line of standard input, as documents and settings hold it.",
+		Args:  input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			line, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
+			key := strings.TrimSpace(line)
+			if key == "" {
+				return &process.InputError{Err: errNoKey}
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), document.KeyDigest(key))
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cowslipshunt/cmd_key_new.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"fmt"
+
+	"cowslipshunt.example/shared/document"
+	"github.com/spf13/cobra"
+)
+
+func newKeyNewCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "new",
+		Short: "print a new random key or token",
+		Long:  "Print a new random key or token. Nothing is submitted: it is for an operator's token, or for a first document.",
+		Args:  input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), document.NewKey())
+			return err
+		},
+	}
+}
--- a/entry/answer/exchange.go
+++ b/entry/answer/exchange.go
@@ -16,6 +16,7 @@
 	"cowslipshunt.example/shared/endpoint"
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
 	"github.com/tmaxmax/go-sse"
 )
 
@@ -73,11 +74,11 @@
 var errStalled = errors.New("the engine sent nothing in time")
 
 // try sends the request to one engine and passes its tokens on. It returns nil once the answer is whole.
-func (x *exchange) try(ctx context.Context, transport http.RoundTripper, e *endpoint.Endpoint, stall time.Duration) *attemptError {
+func (x *exchange) try(ctx context.Context, transport http.RoundTripper, e *endpoint.Endpoint, clock clockwork.Clock, stall time.Duration) *attemptError {
 	x.attempt++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(stall, func() { cancel(errStalled) })
+	watchdog := clock.AfterFunc(stall, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	answer, failed := x.send(ctx, transport, e)
 	if failed != nil {
--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -15,6 +15,7 @@
 	"cowslipshunt.example/shared/queue"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 )
 
@@ -65,6 +66,7 @@
 	engines   http.RoundTripper
 	budget    *rate.Limiter
 	limits    Limits
+	clock     clockwork.Clock
 }
 
 // Limits are the times that a request may take.
@@ -78,7 +80,7 @@
 }
 
 // NewServer returns a server of model requests.
-func NewServer(gate *visit.Gate, directory *endpoint.Directory, queues *queue.Set, recorder Recorder, forwarder Forwarder, limits Limits) *Server {
+func NewServer(gate *visit.Gate, directory *endpoint.Directory, queues *queue.Set, recorder Recorder, forwarder Forwarder, clock clockwork.Clock, limits Limits) *Server {
 	return &Server{
 		gate:      gate,
 		directory: directory,
@@ -88,6 +90,7 @@
 		engines:   caller.NewTransport(limits.Stall),
 		budget:    rate.NewLimiter(retriesPerSecond, retryBurst),
 		limits:    limits,
+		clock:     clock,
 	}
 }
 
@@ -174,7 +177,7 @@
 	header.Del("Content-Length")
 	header.Del("Accept-Encoding")
 	x := &exchange{request: v.Request, workspace: v.Workspace.Name, query: q, header: header}
-	id := newIdentity(v.Request, q.chat, time.Now(), q.fields.Model)
+	id := newIdentity(v.Request, q.chat, s.clock.Now(), q.fields.Model)
 	control := http.NewResponseController(w)
 	if q.fields.Stream {
 		x.sink = &streamSink{w: w, control: control, identity: id, includeUsage: q.fields.StreamOptions.IncludeUsage}
@@ -186,19 +189,19 @@
 
 // run tries engines until the answer is whole, then bills it.
 func (s *Server) run(ctx context.Context, v *visit.Visit, model document.Model, x *exchange) *problem.Problem {
-	started := time.Now()
+	started := s.clock.Now()
 	var failed []wire.EndpointId
 	for {
 		e, err := s.slot(ctx, v, model, x, failed)
 		if err != nil {
 			return s.give(ctx, v, model, x, s.queueRefusal(x, err))
 		}
-		result := x.try(ctx, s.engines, e, s.limits.Stall)
+		result := x.try(ctx, s.engines, e, s.clock, s.limits.Stall)
 		e.Release()
 		s.queues.Get(string(model.Name)).Wake()
 		if result == nil {
 			e.Worked()
-			firstToken.UpdateDuration(started)
+			firstToken.Update(s.clock.Since(started).Seconds())
 			return s.finish(ctx, v, model, x)
 		}
 		if stop := s.failed(ctx, v, x, e, result); stop != nil {
@@ -218,7 +221,7 @@
 	}
 	return s.queues.Get(string(model.Name)).Acquire(ctx, v.Workspace.Name, v.Workspace.Weight, queue.Service(estimate), func() *endpoint.Endpoint {
 		list := s.directory.View().Model(model.Name)
-		now := time.Now()
+		now := s.clock.Now()
 		if e := endpoint.Choose(list, endpoint.Need{Not: failed}, now, random); e != nil {
 			return e
 		}
@@ -238,7 +241,7 @@
 	if result.Caller || ctx.Err() != nil {
 		return x.refusal(http.StatusGatewayTimeout, "the request ended: %v", context.Cause(ctx))
 	}
-	e.Failed(time.Now())
+	e.Failed(s.clock.Now())
 	if x.attempt >= maxAttempts {
 		return x.refusal(http.StatusBadGateway, "%d attempts failed", x.attempt)
 	}
@@ -247,7 +250,7 @@
 		return x.refusal(http.StatusServiceUnavailable, "this entry's budget of retries is spent")
 	}
 	retries.Inc()
-	pause(ctx, rand.N(pauseAtMost))
+	s.pause(ctx, rand.N(pauseAtMost))
 	return nil
 }
 
@@ -321,11 +324,9 @@
 	return wire.CostMicros((total + tokensInPrice - 1) / tokensInPrice)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+func (s *Server) pause(ctx context.Context, d time.Duration) {
 	select {
-	case <-timer.C:
+	case <-s.clock.After(d):
 	case <-ctx.Done():
 	}
 }
--- a/entry/operator/show.go
+++ b/entry/operator/show.go
@@ -53,6 +53,8 @@
 	}
 	answer, err := s.load(r.Context(), wire.DocumentVersion(version))
 	switch {
+	case errors.Is(err, errNoDocument) && version == 0:
+		reply(w, http.StatusOK, wire.DocumentAnswer{})
 	case errors.Is(err, errNoDocument):
 		problem.New(http.StatusNotFound, problem.NotRun, "%v", err).Write(w)
 	case err != nil:
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -92,8 +92,8 @@
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, follow, clock, logger)
 	forwarder := peer.NewForwarder(self, p.peers(), millis(cfg.StallMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
-	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, p.answerLimits())
-	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, p.serviceLimits())
+	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
+	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
 	p.operators = operator.NewServer(operator.Parts{
 		Self: self, Operators: p.operatorList(), Peers: p.peers(), Store: store, Current: p.current, Taker: follow,
 		Control: control, Directory: directory, Linked: p.hub.Links, Clock: clock, Logger: logger,
--- a/entry/service/send.go
+++ b/entry/service/send.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"time"
 
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/endpoint"
@@ -42,7 +41,7 @@
 		if err == nil {
 			answer.Body.Close()
 		} else {
-			e.Failed(time.Now())
+			e.Failed(s.clock.Now())
 		}
 		reached = reached || !notRun
 		c.visit.Log.Warn().Err(err).Str("Endpoint", string(e.State().Endpoint)).Bool("NotRun", notRun).Msg("attempt failed")
@@ -93,10 +92,10 @@
 		list := s.directory.View().Service(c.service)
 		need := c.need()
 		need.Not = failed
-		if e := endpoint.Choose(list, need, time.Now(), random); e != nil || len(failed) == 0 {
+		if e := endpoint.Choose(list, need, s.clock.Now(), random); e != nil || len(failed) == 0 {
 			return e
 		}
-		return endpoint.Choose(list, c.need(), time.Now(), random)
+		return endpoint.Choose(list, c.need(), s.clock.Now(), random)
 	})
 }
 
--- a/entry/service/server.go
+++ b/entry/service/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +17,7 @@
 	"cowslipshunt.example/shared/queue"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
 )
 
 // Bounds of one request.
@@ -70,13 +71,14 @@
 	kept      http.RoundTripper
 	once      http.RoundTripper
 	limits    Limits
+	clock     clockwork.Clock
 
 	hard     context.Context
 	settling sync.WaitGroup
 }
 
 // NewServer returns a server of plain services. Claims that are still open when it stops are written until hard ends.
-func NewServer(hard context.Context, gate *visit.Gate, directory *endpoint.Directory, queues *queue.Set, claims *booking.Claims, recorder Recorder, forwarder Forwarder, limits Limits) *Server {
+func NewServer(hard context.Context, gate *visit.Gate, directory *endpoint.Directory, queues *queue.Set, claims *booking.Claims, recorder Recorder, forwarder Forwarder, clock clockwork.Clock, limits Limits) *Server {
 	return &Server{
 		gate:      gate,
 		directory: directory,
@@ -87,6 +89,7 @@
 		kept:      caller.NewTransport(limits.Answer),
 		once:      caller.NewOnceTransport(limits.Answer),
 		limits:    limits,
+		clock:     clock,
 		hard:      hard,
 	}
 }
@@ -132,8 +135,11 @@
 	s.serve(w, r, v, service, path)
 }
 
+// target returns the service and the path behind it.
 func target(r *http.Request) (wire.ServiceName, string) {
-	return wire.ServiceName(chi.URLParam(r, "service")), "/" + chi.URLParam(r, "*")
+	_, rest, _ := strings.Cut(r.URL.Path, "/services/")
+	service, path, _ := strings.Cut(rest, "/")
+	return wire.ServiceName(service), "/" + path
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, v *visit.Visit, service wire.ServiceName, path string) {
@@ -174,8 +180,8 @@
 	if caller.Holds(c.r.URL.Path, c.visit.Key) {
 		return problem.New(http.StatusBadRequest, problem.NotRun, "the path holds the key")
 	}
-	if !document.PlainPath(c.path) {
-		return problem.New(http.StatusBadRequest, problem.NotRun, "the path has empty or dot segments")
+	if !document.PlainPath(c.path) || strings.Contains(strings.ToLower(c.r.URL.RawPath), "%2f") {
+		return problem.New(http.StatusBadRequest, problem.NotRun, "the path has empty or dot segments, or an encoded slash")
 	}
 	return nil
 }
