Run completions, orders and faults in the stand-in engine

Cause: entries and controllers need an engine whose tokens, cache, load and orders can be judged, and which can fail on demand. Ruled out: a step loop over the batch (places that each request leaves at its own end show the same bounds with less); letting running requests end during an order (cutting them makes a missing drain visible); pieces named per engine (an entry could not map them to prompts).

--- /dev/null
+++ b/shared/piece/piece_test.go
@@ -0,0 +1,20 @@
+package piece_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"cowslipshunt.example/shared/piece"
+)
+
+func TestNamesAreSharedJustAsFarAsThePrefix(t *testing.T) {
+	a := piece.Names(strings.Fields("a b c d e f g"), 2)
+	b := piece.Names(strings.Fields("a b c x e f"), 2)
+	if len(a) != 3 || len(b) != 3 || a[0] != b[0] || a[1] == b[1] || a[2] == b[2] {
+		t.Errorf("names %v and %v", a, b)
+	}
+	if !slices.Equal(a[:2], piece.Names(strings.Fields("a b c d"), 2)) {
+		t.Error("a longer prompt changed the names of its prefix")
+	}
+}
--- /dev/null
+++ b/standin/engine/completions_test.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestEveryResumedAnswerEqualsTheWhole(t *testing.T) {
+	a, b := start(t, loaded()), start(t, loaded())
+	rapid.Check(t, func(rt *rapid.T) {
+		prompt := rapid.StringMatching(`[a-z ]{0,30}`).Draw(rt, "prompt")
+		limit := rapid.IntRange(1, 12).Draw(rt, "limit")
+		whole := a.stream("r", chat(prompt, limit)).tokens
+		if len(whole) != limit {
+			rt.Fatalf("%d tokens, want %d", len(whole), limit)
+		}
+		var ids []string
+		for n := range limit {
+			ids = append(ids, fmt.Sprintf("r/2/%d", n))
+		}
+		ids = append(ids, "r/2/end", "r/2/usage")
+		for cut := range limit + 1 {
+			body := chat(prompt, limit)
+			body["resume_tokens"] = whole[:cut]
+			body["stream_options"] = map[string]any{"include_usage": true}
+			p := b.stream("r", body)
+			if got := append(slices.Clone(whole[:cut]), p.tokens...); !slices.Equal(got, whole) {
+				rt.Fatalf("cut at %d: got %q, want %q", cut, got, whole)
+			}
+			if want := ids[cut:]; !slices.Equal(p.ids, want) {
+				rt.Fatalf("cut at %d: ids %q, want %q", cut, p.ids, want)
+			}
+			if u := p.usage; !p.done || u.CompletionTokens != limit || u.PromptTokens != len(strings.Fields(prompt)) {
+				rt.Fatalf("cut at %d: done %v, usage %+v", cut, p.done, u)
+			}
+		}
+	})
+}
+
+func TestTheWholePromptDecidesTheTokens(t *testing.T) {
+	b := start(t, loaded())
+	say := func(contents ...any) string {
+		var messages []map[string]any
+		for _, c := range contents {
+			messages = append(messages, map[string]any{"role": "user", "content": c})
+		}
+		p := b.stream("r", map[string]any{"model": "m", "messages": messages})
+		return strings.Join(p.tokens, "")
+	}
+	parts := []map[string]any{{"type": "text", "text": "a"}, {"type": "text", "text": "b"}}
+	if say("a", "b") != say(parts) {
+		t.Error("parts and messages with the same text differ")
+	}
+	if say("a", "b") == say("c", "b") || say("a", "b") == say("a", "c") {
+		t.Error("a message has no say in the tokens")
+	}
+	if got := len(strings.Fields(say("a"))); got != defaultMaxTokens {
+		t.Errorf("%d tokens without a bound, want %d", got, defaultMaxTokens)
+	}
+}
+
+func TestPlainAnswersHaveTheirShapes(t *testing.T) {
+	b := start(t, loaded())
+	first, second := newTokenSource("p q").token(0), newTokenSource("p q").token(1)
+	tests := []struct{ path, body, want string }{
+		{"/v1/chat/completions", `{"model":"m","max_completion_tokens":2,"messages":[{"role":"user","content":"p q"}]}`,
+			`{"id":"chatcmpl-r","object":"chat.completion","created":1,"model":"m","choices":[{"index":0,"message":{"role":"assistant","content":"` +
+				first + second + `","refusal":null},"logprobs":null,"finish_reason":"length"}],` + wantUsage},
+		{"/v1/completions", `{"model":"m","max_tokens":2,"prompt":["p q"]}`,
+			`{"id":"cmpl-r","object":"text_completion","created":1,"model":"m","choices":[{"index":0,"text":"` +
+				first + second + `","logprobs":null,"finish_reason":"length"}],` + wantUsage},
+	}
+	for _, test := range tests {
+		status, header, got := b.plain(t, test.path, test.body)
+		if status != http.StatusOK || header.Get("Request-Id") != "r" || header.Get("Attempt") != "2" {
+			t.Errorf("%s: status %d, header %v", test.path, status, header)
+		}
+		got.Created = min(got.Created, 1)
+		if text, _ := json.Marshal(got); string(text) != test.want {
+			t.Errorf("%s: got\n%s\nwant\n%s", test.path, text, test.want)
+		}
+	}
+}
+
+const wantUsage = `"usage":{"prompt_tokens":2,"completion_tokens":2,"total_tokens":4,"prompt_tokens_details":{"cached_tokens":0}}}`
+
+func (b *bench) plain(t *testing.T, path, body string) (int, http.Header, completion) {
+	t.Helper()
+	answer, err := b.send(t.Context(), path, "r", json.RawMessage(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var c completion
+	if err := json.NewDecoder(answer.Body).Decode(&c); err != nil {
+		t.Fatal(err)
+	}
+	return answer.StatusCode, answer.Header, c
+}
+
+func TestBadRequestsRunNothing(t *testing.T) {
+	b := start(t, loaded())
+	tests := map[string]int{
+		`{"model":"other","prompt":"a"}`:            http.StatusNotFound,
+		`{"model":"m"}`:                             http.StatusBadRequest,
+		`{"model":"m","prompt":["a","b"]}`:          http.StatusBadRequest,
+		`{"model":"m","prompt":"a","max_tokens":0}`: http.StatusBadRequest,
+		`{"model":"m","prompt":"a","n":2}`:          http.StatusBadRequest,
+		`[]`:                                        http.StatusBadRequest,
+	}
+	for body, want := range tests {
+		if status, header, _ := b.plain(t, "/v1/completions", body); status != want || header.Get("Outcome") != "" {
+			t.Errorf("%s: status %d, want %d; header %v", body, status, want, header)
+		}
+	}
+	if n := len(b.received().Requests); n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+func TestACachedPrefixSavesPrefill(t *testing.T) {
+	cfg := loaded()
+	cfg.PieceTokens, cfg.Pieces = 2, 3
+	b := start(t, cfg)
+	prompts := []string{"a b c d e", "a b c d e", "a b x y", "q r s t u v", "a b c d e"}
+	want := []uint64{5, 1, 2, 6, 5}
+	for i, prompt := range prompts {
+		before := b.meters.prefillTokens.Get()
+		b.stream("r", chat(prompt, 1))
+		if got := b.meters.prefillTokens.Get() - before; got != want[i] {
+			t.Errorf("request %d: %d tokens charged, want %d", i, got, want[i])
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine/events.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
+)
+
+// maxEvents is how many cache events an engine keeps.
+const maxEvents = 10_000
+
+type timedEvent struct {
+	at    time.Time
+	event wire.CacheEvent
+}
+
+// eventLog shows cache events late and loses some, as real engines do.
+type eventLog struct {
+	clock    clockwork.Clock
+	lag      time.Duration
+	gapEvery int
+	mu       sync.Mutex
+	sequence int
+	kept     []timedEvent
+}
+
+func newEventLog(clock clockwork.Clock, lag time.Duration, gapEvery int) *eventLog {
+	return &eventLog{clock: clock, lag: lag, gapEvery: gapEvery}
+}
+
+// add numbers an event. A lost one leaves a gap in the sequence.
+func (l *eventLog) add(kind wire.CacheEventKind, pieces []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	if l.gapEvery > 0 && l.sequence%l.gapEvery == 0 {
+		return
+	}
+	event := wire.CacheEvent{Kind: kind, Pieces: pieces, Sequence: l.sequence}
+	l.kept = append(l.kept, timedEvent{at: l.clock.Now(), event: event})
+	if len(l.kept) > 2*maxEvents {
+		l.kept = slices.Clone(l.kept[len(l.kept)-maxEvents:])
+	}
+}
+
+// after returns the events behind a sequence number that are old enough to be seen.
+func (l *eventLog) after(sequence int) []wire.CacheEvent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.clock.Now().Add(-l.lag)
+	events := []wire.CacheEvent{}
+	from, _ := slices.BinarySearchFunc(l.kept, sequence+1, func(e timedEvent, n int) int {
+		return e.event.Sequence - n
+	})
+	for _, e := range l.kept[from:] {
+		if e.at.After(seen) {
+			break
+		}
+		events = append(events, e.event)
+	}
+	return events
+}
--- /dev/null
+++ b/standin/engine/settings.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"cowslipshunt.example/shared/finding"
+	"cowslipshunt.example/shared/setting"
+	"cowslipshunt.example/wire"
+)
+
+// Defaults of settings that a file may leave out.
+const (
+	defaultMaxRunning = 8
+	defaultMaxWaiting = 64
+	defaultLogLevel   = "info"
+)
+
+var roles = []wire.EngineRole{wire.EngineRoleMixed, wire.EngineRolePrefill, wire.EngineRoleDecode}
+
+// settings are an engine's start settings.
+type settings struct {
+	Address           string
+	OperationsAddress string
+	// Endpoint is also the instance in the log.
+	Endpoint      wire.EndpointId
+	LogLevel      string
+	ChecksFencing bool
+	// Model is loaded at the start; empty is none.
+	Model                  wire.ModelName
+	ModelVersion           wire.ModelVersion
+	Role                   wire.EngineRole
+	PrefillMicrosPerToken  int
+	DecodeMicrosPerToken   int
+	MaxRunning, MaxWaiting int
+	// OrderMillis is how long a load or a change of role takes the engine away.
+	OrderMillis    int
+	LoadLagMillis  int
+	EventLagMillis int
+	// EventGapEvery loses each event whose sequence number it divides; zero loses none.
+	EventGapEvery int
+	// PieceTokens is the size of a prefix-cache piece.
+	PieceTokens int
+	// Pieces is how many pieces the cache holds.
+	Pieces int
+}
+
+func defaultSettings() settings {
+	return settings{
+		LogLevel:   defaultLogLevel,
+		Role:       wire.EngineRoleMixed,
+		MaxRunning: defaultMaxRunning,
+		MaxWaiting: defaultMaxWaiting,
+	}
+}
+
+// Check returns every finding.
+func (s *settings) Check(p *setting.Places) finding.List {
+	c := setting.Checks{Places: p}
+	c.Address("Address", s.Address)
+	c.Address("OperationsAddress", s.OperationsAddress)
+	c.Required("Endpoint", string(s.Endpoint))
+	c.Level("LogLevel", s.LogLevel)
+	if !slices.Contains(roles, s.Role) {
+		c.Fail("Role", "%q is none of %v", s.Role, roles)
+	}
+	if s.ModelVersion != "" && s.Model == "" {
+		c.Fail("Model", "is missing beside a ModelVersion")
+	}
+	s.checkNumbers(&c)
+	return c.List
+}
+
+func (s *settings) checkNumbers(c *setting.Checks) {
+	atLeast(c, "PrefillMicrosPerToken", s.PrefillMicrosPerToken, 0)
+	atLeast(c, "DecodeMicrosPerToken", s.DecodeMicrosPerToken, 0)
+	atLeast(c, "MaxRunning", s.MaxRunning, 1)
+	atLeast(c, "MaxWaiting", s.MaxWaiting, 0)
+	atLeast(c, "OrderMillis", s.OrderMillis, 0)
+	atLeast(c, "LoadLagMillis", s.LoadLagMillis, 0)
+	atLeast(c, "EventLagMillis", s.EventLagMillis, 0)
+	atLeast(c, "EventGapEvery", s.EventGapEvery, 0)
+	atLeast(c, "Pieces", s.Pieces, 0)
+	atLeast(c, "PieceTokens", s.PieceTokens, min(1, s.Pieces))
+}
+
+func atLeast(c *setting.Checks, field string, value, least int) {
+	if value < least {
+		c.Fail(field, "%d is less than %d", value, least)
+	}
+}
+
+func millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+func micros(n int) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
--- /dev/null
+++ b/standin/engine/text.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+var errPrompt = errors.New("prompt is neither a text nor a list of one text")
+
+// partError says that a message has a part that is no text.
+type partError struct {
+	Type string
+}
+
+// Error names the part's type.
+func (e *partError) Error() string {
+	return fmt.Sprintf("content part of type %q is not supported", e.Type)
+}
+
+// contentText is a message's content: a text, a list of text parts, or null.
+type contentText string
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON takes each form.
+func (c *contentText) UnmarshalJSON(data []byte) error {
+	if data[0] != '[' {
+		return json.Unmarshal(data, (*string)(c))
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	texts := make([]string, 0, len(parts))
+	for _, p := range parts {
+		if p.Type != "text" {
+			return &partError{Type: p.Type}
+		}
+		texts = append(texts, p.Text)
+	}
+	*c = contentText(strings.Join(texts, "\n"))
+	return nil
+}
+
+// promptText is a prompt: a text, or a list of one.
+type promptText string
+
+// UnmarshalJSON takes each form.
+func (p *promptText) UnmarshalJSON(data []byte) error {
+	if data[0] != '[' {
+		return json.Unmarshal(data, (*string)(p))
+	}
+	var texts []string
+	if err := json.Unmarshal(data, &texts); err != nil || len(texts) != 1 {
+		return errPrompt
+	}
+	*p = promptText(texts[0])
+	return nil
+}
+
+// joinMessages is the whole prompt text of a chat.
+func joinMessages(messages []message) string {
+	texts := make([]string, 0, len(messages))
+	for _, m := range messages {
+		texts = append(texts, string(m.Content))
+	}
+	return strings.Join(texts, "\n")
+}
--- a/standin/service/cmd_serve.go
+++ b/standin/service/cmd_serve.go
@@ -27,7 +27,7 @@
 }
 
 func serve(ctx context.Context, path string) error {
-	var cfg settings
+	cfg := settings{LogLevel: defaultLogLevel}
 	if err := setting.Load(path, &cfg); err != nil {
 		return err
 	}
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -34,14 +35,13 @@
 		return 0, nil
 	}
 	defer answer.Body.Close()
+	// A body read to its end is what lets the connection be used again.
 	data, err := io.ReadAll(answer.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
 	if answer.StatusCode == http.StatusOK && into != nil {
-		if err := json.Unmarshal(data, into); err != nil {
-			t.Fatalf("%s %s: %v", method, path, err)
-		}
+		err = errors.Join(err, json.Unmarshal(data, into))
+	}
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
 	}
 	return answer.StatusCode, answer.Header
 }
@@ -50,8 +50,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		srv := start(t)
 		defer srv.Close()
-		runs := map[string]int{}
-		ran := 0
+		runs, ran := map[string]int{}, 0
 		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
 			name := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "booking")
 			fault := rapid.SampledFrom([]string{`{}`, `{"Refuse":true,"Once":true}`, `{"CloseAfterRun":true,"Once":true}`}).Draw(rt, "fault")
--- a/standin/service/settings.go
+++ b/standin/service/settings.go
@@ -6,6 +6,9 @@
 	"cowslipshunt.example/wire"
 )
 
+// defaultLogLevel stands for a level that a file leaves out.
+const defaultLogLevel = "info"
+
 // settings are a service's start settings.
 type settings struct {
 	Address           string
