Test that the operators' client follows no redirect

Cause: a trial that took the redirect check out of the client passed all tests.

Ruled out: testing with a redirect that names no place, which is an error either way.

Conclusion: the test fails in a trial without the check and passes with it.

--- a/shared/console/client_test.go
+++ b/shared/console/client_test.go
@@ -100,3 +100,17 @@
 		t.Errorf("asked %v", *got)
 	}
 }
+
+func TestARedirectIsNotFollowed(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		t.Errorf("the other place was asked with %q", r.Header.Get("Authorization"))
+	}))
+	t.Cleanup(other.Close)
+	srv := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(srv.Close)
+	_, err := console.NewClient(strings.TrimPrefix(srv.URL, "http://"), "secret").Status(context.Background())
+	var problem *console.ProblemError
+	if !errors.As(err, &problem) || problem.Status != http.StatusTemporaryRedirect {
+		t.Errorf("got %v", err)
+	}
+}
