--- a/shared/channel/router.go
+++ b/shared/channel/router.go
@@ -59,9 +59,9 @@
 	a.write(a.logger.Error().Err(err), text, fields)
 }
 
-// Info logs at debug level: watermill's news is of no use to an operator.
+// Info logs at trace level: watermill's news is of no use to an operator.
 func (a logAdapter) Info(text string, fields watermill.LogFields) {
-	a.write(a.logger.Debug(), text, fields)
+	a.write(a.logger.Trace(), text, fields)
 }
 
 // Debug logs at trace level.
