--- a/shared/platform/client.go
+++ b/shared/platform/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -23,8 +24,9 @@
 // Client calls the platform's services. It never repeats a call; a caller that gets an error other than Error with a
 // status cannot know whether the call took effect.
 type Client struct {
-	base string
-	http *http.Client
+	base      string
+	http      *http.Client
+	transport *http.Transport
 }
 
 // Option changes a client.
@@ -37,13 +39,24 @@
 	}
 }
 
+// WithDial replaces how connections are opened.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) {
+		c.transport.DialContext = dial
+	}
+}
+
 // DefaultTimeout bounds each call of a client without WithTimeout.
 const DefaultTimeout = 5 * time.Second
 
 // NewClient returns a client for the platform at an address such as 127.0.0.1:7000.
 func NewClient(address string, opts ...Option) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	c := &Client{base: "http://" + address, http: &http.Client{Transport: transport, Timeout: DefaultTimeout}}
+	c := &Client{
+		base:      "http://" + address,
+		http:      &http.Client{Transport: transport, Timeout: DefaultTimeout},
+		transport: transport,
+	}
 	for _, opt := range opts {
 		opt(c)
 	}
