--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,9 @@
 	@if [ -n "$(FUZZED)" ]; then \
 		go test -race -count=1 $(FUZZED) -args -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -rapid.nofailfile; fi
 
+demo: build
+	scripts/demo.sh
+
 generate:
 	go tool go-jsonschema -p wire --only-models --tags json -o wire/wire.go wire/schema/wire.json
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -71,7 +71,7 @@
 	defaultStoreMillis        = 1_000
 	defaultStoreTimeoutMillis = 2_000
 	defaultStopMillis         = 600_000
-	defaultLeaveMillis        = 0
+	defaultLeaveMillis        = 1_000
 )
 
 // Check returns every finding of the settings.
--- a/shared/process/logger.go
+++ b/shared/process/logger.go
@@ -6,8 +6,14 @@
 	"github.com/phuslu/log"
 )
 
-// NewLogger returns a logger that writes JSON lines with the program's and instance's names.
+// defaultLevel is the log level of settings that name none.
+const defaultLevel = "info"
+
+// NewLogger returns a logger that writes JSON lines with the program's and instance's names. An empty level is info.
 func NewLogger(w io.Writer, level, program, instance string) *log.Logger {
+	if level == "" {
+		level = defaultLevel
+	}
 	context := log.NewContext(nil).Str("Program", program).Str("Instance", instance).Value()
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
