Hold the stand-in engine's tests to eviction, distinct tokens and late places

Cause: three faults put in on a scratch copy went unseen: tokens that repeat, a prefix evicted from its start, and a place lost when its ticket was granted and given up at once. Ruled out: faults of the engine itself; it behaved right in all three. Conclusion: the tests are stricter, none was eased.

--- a/standin/engine/completions_test.go
+++ b/standin/engine/completions_test.go
@@ -17,8 +17,8 @@
 		prompt := rapid.StringMatching(`[a-z ]{0,30}`).Draw(rt, "prompt")
 		limit := rapid.IntRange(1, 12).Draw(rt, "limit")
 		whole := a.stream("r", chat(prompt, limit)).tokens
-		if len(whole) != limit {
-			rt.Fatalf("%d tokens, want %d", len(whole), limit)
+		if distinct := slices.Compact(slices.Sorted(slices.Values(whole))); len(distinct) != limit {
+			rt.Fatalf("tokens %q, want %d distinct ones", whole, limit)
 		}
 		var ids []string
 		for n := range limit {
@@ -128,8 +128,8 @@
 	cfg := loaded()
 	cfg.PieceTokens, cfg.Pieces = 2, 3
 	b := start(t, cfg)
-	prompts := []string{"a b c d e", "a b c d e", "a b x y", "q r s t u v", "a b c d e"}
-	want := []uint64{5, 1, 2, 6, 5}
+	prompts := []string{"a b c d e", "a b c d e", "a b x y", "q r s t u v", "a b", "q r s t u v"}
+	want := []uint64{5, 1, 2, 6, 2, 2}
 	for i, prompt := range prompts {
 		before := b.meters.prefillTokens.Get()
 		b.stream("r", chat(prompt, 1))
--- a/standin/engine/order_test.go
+++ b/standin/engine/order_test.go
@@ -90,7 +90,11 @@
 		waiting = slices.DeleteFunc(waiting, func(t *ticket) bool { return t == gone })
 		slices.SortStableFunc(waiting, func(a, b *ticket) int { return a.priority - b.priority })
 		for i, next := range waiting {
-			s.release()
+			if i%2 == 0 {
+				s.release()
+			} else {
+				s.giveUp(waiting[i-1])
+			}
 			select {
 			case <-next.granted:
 			default:
