--- a/proof/caller_test.go
+++ b/proof/caller_test.go
@@ -54,12 +54,17 @@
 	return r, nil
 }
 
-// call sends a request and reads the whole answer.
+// call makes a request, sends it and reads the whole answer.
 func (c *caller) call(method, address, path, body string, header http.Header) result {
 	r, err := c.request(method, address, path, body, header)
 	if err != nil {
 		return result{err: err}
 	}
+	return c.send(r)
+}
+
+// send sends a request and reads the whole answer.
+func (c *caller) send(r *http.Request) result {
 	answer, err := c.http.Do(r)
 	if err != nil {
 		return result{err: err}
