Let only instances that share a secret speak at the peers' address

Cause: the peers' address trusted whoever connected. A stranger without any key named a workspace in a header of /forward and its request ran and would have been billed to that workspace; the same address took control links.

Weighed: trusting the network (then one open port breaks "a request runs only for the workspace whose key came with it"); a secret within Hello (leaves /forward open, and changes the wire); mutual TLS (certificates to look after on instances that keep nothing). A peer with another secret counts as one that did not take the request. The secret is dropped like a key before anything goes to an endpoint.

Ruled out: forged Workspace headers in seven spellings at the callers' address, with two workspaces on shared connections and requests passed on between domains: those never ran for another workspace, before or after.

Not covered: whoever reads the network between instances reads the secret.

Conclusion: entries and controllers need PeerSecret in their settings.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -81,6 +81,7 @@
 			Domain:      c.cfg.Domain,
 			Program:     wire.ProgramController,
 		},
+		PeerSecret:   c.cfg.PeerSecret,
 		Entries:      entries,
 		Platform:     c.platform,
 		Keeper:       c.domain,
--- a/controller/domain/links.go
+++ b/controller/domain/links.go
@@ -37,13 +37,13 @@
 }
 
 // openLinks dials every entry until close is called.
-func openLinks(self wire.Hello, entries []Entry, logger *log.Logger) (*links, error) {
+func openLinks(self wire.Hello, secret channel.Secret, entries []Entry, logger *log.Logger) (*links, error) {
 	router, err := channel.NewRouter(logger)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &links{epoch: self.Epoch, hub: channel.NewHub(self, logger), cancel: cancel, done: make(chan struct{})}
+	l := &links{epoch: self.Epoch, hub: channel.NewHub(self, logger, channel.WithSecret(secret)), cancel: cancel, done: make(chan struct{})}
 	channel.Handle(router, l.hub, topicDrainAnswer, l.takeAnswer)
 	channel.Handle(router, l.hub, channel.TopicLinkUp, l.takeUp)
 	go func() {
--- a/controller/domain/worker.go
+++ b/controller/domain/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/drain"
 	"cowslipshunt.example/shared/fleet"
 	"cowslipshunt.example/shared/lease"
@@ -18,6 +19,7 @@
 // Config is what a worker works with.
 type Config struct {
 	Self         wire.Hello
+	PeerSecret   channel.Secret
 	Entries      []Entry
 	Platform     *platform.Client
 	Keeper       *lease.Keeper
@@ -106,7 +108,7 @@
 	w.Close()
 	self := w.cfg.Self
 	self.Epoch = epoch
-	l, err := openLinks(self, w.cfg.Entries, w.logger)
+	l, err := openLinks(self, w.cfg.PeerSecret, w.cfg.Entries, w.logger)
 	if err != nil {
 		return err
 	}
--- a/controller/settings.go
+++ b/controller/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/finding"
 	"cowslipshunt.example/shared/setting"
 	"cowslipshunt.example/wire"
@@ -27,6 +28,8 @@
 	Address string
 	// Platform is the address of the platform's services.
 	Platform string
+	// PeerSecret is what all instances of the deployment share; entries refuse links without it.
+	PeerSecret channel.Secret
 	// Entry lists the entries of the domain.
 	Entry              []entrySettings
 	LogLevel           string
@@ -61,6 +64,7 @@
 	c.Required("Domain", string(s.Domain))
 	c.Address("Address", s.Address)
 	c.Address("Platform", s.Platform)
+	c.Secret("PeerSecret", string(s.PeerSecret), channel.MinSecretBytes)
 	c.Level("LogLevel", s.LogLevel)
 	s.checkEntries(&c)
 	s.checkTimes(&c)
--- a/entry/peer/forwarder.go
+++ b/entry/peer/forwarder.go
@@ -10,6 +10,7 @@
 
 	"cowslipshunt.example/entry/visit"
 	"cowslipshunt.example/shared/caller"
+	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
@@ -37,12 +38,13 @@
 type Forwarder struct {
 	self      wire.Hello
 	peers     []Address
+	secret    channel.Secret
 	transport http.RoundTripper
 }
 
-// NewForwarder returns a forwarder to those peers that are in another failure domain.
-func NewForwarder(self wire.Hello, peers []Address, answerWithin time.Duration) *Forwarder {
-	f := &Forwarder{self: self, transport: caller.NewOnceTransport(answerWithin)}
+// NewForwarder returns a forwarder to those peers that are in another failure domain; they take only what carries secret.
+func NewForwarder(self wire.Hello, peers []Address, secret channel.Secret, answerWithin time.Duration) *Forwarder {
+	f := &Forwarder{self: self, secret: secret, transport: caller.NewOnceTransport(answerWithin)}
 	for _, p := range peers {
 		if p.Domain != self.Domain {
 			f.peers = append(f.peers, p)
@@ -75,8 +77,12 @@
 	return last
 }
 
+// refusedUnrun tells that a peer did not take a request: it has no room for it, or holds another secret.
 func refusedUnrun(answer *http.Response) bool {
-	return answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(caller.HeaderOutcome) == string(problem.NotRun)
+	if answer.Header.Get(caller.HeaderOutcome) != string(problem.NotRun) {
+		return false
+	}
+	return answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusForbidden
 }
 
 func (f *Forwarder) send(r *http.Request, v *visit.Visit, body []byte, to Address) (*http.Response, error) {
@@ -88,6 +94,7 @@
 	out.Header = caller.CleanHeader(r.Header, v.Key)
 	out.Header.Set(caller.HeaderRequest, string(v.Request))
 	out.Header.Set(caller.HeaderWorkspace, string(v.Workspace.Name))
+	f.secret.Set(out.Header)
 	caller.SetOnceBody(out, body)
 	return f.transport.RoundTrip(out)
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -74,7 +74,7 @@
 	clock := clockwork.NewRealClock()
 	self := wire.Hello{Instance: cfg.Instance, Incarnation: wire.IncarnationId(uuid.NewString()), Domain: cfg.Domain, Program: wire.ProgramEntry}
 	store := platform.NewClient(cfg.Platform, platform.WithTimeout(millis(cfg.StoreTimeoutMillis)))
-	p := &program{cfg: cfg, logger: logger, operations: process.NewOperations(), hub: channel.NewHub(self, logger)}
+	p := &program{cfg: cfg, logger: logger, operations: process.NewOperations(), hub: channel.NewHub(self, logger, channel.WithSecret(cfg.PeerSecret))}
 	queues := queue.NewSet(background, clock)
 	p.current = document.NewCurrent()
 	directory := endpoint.NewDirectory(endpoint.WithLimits(p.limitOf), endpoint.WithChanged(queues.Wake))
@@ -90,7 +90,7 @@
 	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
 	p.gate = visit.NewGate(p.current, follow, cfg.MaxRequests, logger)
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, follow, clock, logger)
-	forwarder := peer.NewForwarder(self, p.peers(), millis(cfg.StallMillis))
+	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, millis(cfg.StallMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
 	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
 	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
@@ -164,9 +164,10 @@
 	return router
 }
 
-// peerRoutes returns the interface for peers and the holder of the domain's lease.
+// peerRoutes returns the interface for peers and the holder of the domain's lease, which share a secret.
 func (p *program) peerRoutes() http.Handler {
 	router := chi.NewRouter()
+	router.Use(p.cfg.PeerSecret.Guard)
 	router.Handle("/control", p.hub)
 	router.Route(peer.PathForward, func(router chi.Router) {
 		router.Post("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { p.answers.ServeForwarded(w, r, true) })
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/finding"
 	"cowslipshunt.example/shared/setting"
 	"cowslipshunt.example/wire"
@@ -27,8 +28,10 @@
 	// Platform is the platform's address.
 	Platform string
 
-	Peer     []peerSettings
-	Operator []operatorSettings
+	// PeerSecret is what all instances of the deployment share; the peers' address serves nobody without it.
+	PeerSecret channel.Secret
+	Peer       []peerSettings
+	Operator   []operatorSettings
 
 	// MaxRequests bounds the requests inside; zero is 4096.
 	MaxRequests int
@@ -85,6 +88,7 @@
 	c.Address("PeerAddress", s.PeerAddress)
 	c.Address("OperationsAddress", s.OperationsAddress)
 	c.Address("Platform", s.Platform)
+	c.Secret("PeerSecret", string(s.PeerSecret), channel.MinSecretBytes)
 	for i, peer := range s.Peer {
 		c.Required(fmt.Sprintf("Peer[%d].Instance", i), string(peer.Instance))
 		c.Required(fmt.Sprintf("Peer[%d].Domain", i), string(peer.Domain))
--- a/proof/holder_test.go
+++ b/proof/holder_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	self := wire.Hello{Instance: wire.InstanceName("holder-" + domain), Domain: wire.DomainName(domain), Program: wire.ProgramController, Epoch: 1}
 	h := &holder{
-		hub:    channel.NewHub(self, process.NewLogger(io.Discard, "error", "proof", "holder")),
+		hub:    channel.NewHub(self, process.NewLogger(io.Discard, "error", "proof", "holder"), channel.WithSecret(peerSecret)),
 		states: wire.EndpointStates{Domain: wire.DomainName(domain), Epoch: 1, Sequence: 1},
 	}
 	for _, e := range append(append([]*backend{}, s.engines...), s.services...) {
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -25,6 +25,7 @@
 	testKey       = "csh_proof-key-of-bluegum"
 	otherKey      = "csh_proof-key-of-lustre"
 	operatorToken = "proof-operator-token"
+	peerSecret    = "proof-secret-of-peers"
 )
 
 // plan says what a system consists of.
@@ -173,7 +174,7 @@
 	fmt.Fprintf(&b, "Instance = %q\nDomain = %q\nLogLevel = \"debug\"\n", m.name, m.domain)
 	fmt.Fprintf(&b, "Address = %q\nOperatorAddress = %q\n", m.address, m.operator)
 	fmt.Fprintf(&b, "PeerAddress = %q\nOperationsAddress = %q\n", m.peerProxy.target, m.operations)
-	fmt.Fprintf(&b, "Platform = %q\n%s", m.platformProxy.address, s.plan.entrySettings)
+	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\n%s", m.platformProxy.address, peerSecret, s.plan.entrySettings)
 	fmt.Fprintf(&b, "[[Operator]]\nName = \"board\"\nTokenDigest = %q\n", document.KeyDigest(operatorToken))
 	for _, other := range s.members {
 		if other != m {
@@ -186,7 +187,7 @@
 func (s *system) controllerSettings(m *member) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "Instance = %q\nDomain = %q\nAddress = %q\nLogLevel = \"debug\"\n", "controller-"+m.name, m.domain, m.status)
-	fmt.Fprintf(&b, "Platform = %q\n%s", m.platformProxy.address, s.plan.controllerSettings)
+	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\n%s", m.platformProxy.address, peerSecret, s.plan.controllerSettings)
 	for _, other := range s.members {
 		if other.domain == m.domain {
 			fmt.Fprintf(&b, "[[Entry]]\nInstance = %q\nAddress = %q\n", other.name, other.peerProxy.address)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,6 +58,7 @@
 key_digest=$("$bin/cowslipshunt" key digest <<<"$key")
 token_digest=$("$bin/cowslipshunt" key digest <<<"$token")
 export COWSLIPSHUNT_TOKEN=$token
+peer_secret=$("$bin/cowslipshunt" key new)
 
 for n in 1 2; do
   engine=engine$n engine_ops=engine${n}_ops
@@ -94,6 +95,7 @@
 PeerAddress = "${!peer}"
 OperationsAddress = "${!ops}"
 Platform = "$platform"
+PeerSecret = "$peer_secret"
 Peer = [{ Instance = "entry-$other", Domain = "qld-a", Address = "${!other_peer}" }]
 Operator = [{ Name = "board", TokenDigest = "$token_digest" }]
 TOML
@@ -102,6 +104,7 @@
 Domain = "qld-a"
 Address = "${!status}"
 Platform = "$platform"
+PeerSecret = "$peer_secret"
 WindowSeconds = 5
 Entry = [
   { Instance = "entry-1", Address = "$peer1" },
--- a/shared/caller/key.go
+++ b/shared/caller/key.go
@@ -14,12 +14,14 @@
 	HeaderWorkspace = "Workspace"
 	HeaderPriority  = "Priority"
 	HeaderOutcome   = "Outcome"
+	// HeaderPeerSecret carries the secret that instances share; only peers get it.
+	HeaderPeerSecret = "Peer-Secret"
 	// HeaderIdempotency names a request that a caller may send again.
 	HeaderIdempotency = "Idempotency-Key"
 )
 
 // keyHeaders are where callers may put their key; none is sent on.
-var keyHeaders = []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"}
+var keyHeaders = []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization", HeaderPeerSecret}
 
 // ownHeaders are dropped from what callers send.
 var ownHeaders = []string{HeaderRequest, HeaderAttempt, HeaderWorkspace, HeaderPriority, HeaderOutcome}
@@ -29,9 +31,13 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// scheme is the authentication scheme of keys; its case does not matter.
+const scheme = "Bearer"
+
 // Key returns the key of a request, or an empty text.
 func Key(r *http.Request) string {
-	if key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); found {
+	name, key, found := strings.Cut(r.Header.Get("Authorization"), " ")
+	if found && strings.EqualFold(name, scheme) {
 		return strings.TrimSpace(key)
 	}
 	return r.Header.Get("X-Api-Key")
--- a/shared/channel/hub.go
+++ b/shared/channel/hub.go
@@ -34,6 +34,7 @@
 // Hub owns every control link of one process. It is a watermill publisher and subscriber.
 type Hub struct {
 	self   wire.Hello
+	secret Secret
 	logger *log.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -50,9 +51,9 @@
 )
 
 // NewHub returns a hub that opens each link with self.
-func NewHub(self wire.Hello, logger *log.Logger) *Hub {
+func NewHub(self wire.Hello, logger *log.Logger, options ...Option) *Hub {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Hub{
+	h := &Hub{
 		self:   self,
 		logger: logger,
 		ctx:    ctx,
@@ -60,6 +61,10 @@
 		links:  map[wire.InstanceName][]*link{},
 		topics: map[string][]*subscription{},
 	}
+	for _, o := range options {
+		o(h)
+	}
+	return h
 }
 
 // Publish sends messages to the instance that their metadata names, or to every linked instance. A message to one
--- a/shared/channel/link.go
+++ b/shared/channel/link.go
@@ -93,7 +93,9 @@
 func (h *Hub) dialOnce(ctx context.Context, address string) error {
 	dialCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+address+"/control", nil)
+	header := http.Header{}
+	h.secret.Set(header)
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+address+"/control", &websocket.DialOptions{HTTPHeader: header})
 	if err != nil {
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
--- a/shared/setting/check.go
+++ b/shared/setting/check.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// Secret demands a text of at least min bytes. Its findings never show the text.
+func (c *Checks) Secret(field, value string, min int) {
+	if len(value) < min {
+		c.Fail(field, "is missing or shorter than %d characters", min)
+	}
+}
+
 // Level demands a known log level; an empty one is allowed.
 func (c *Checks) Level(field, value string) {
 	if value != "" && !slices.Contains(Levels, value) {
