--- a/entry/service/server.go
+++ b/entry/service/server.go
@@ -149,7 +149,7 @@
 	if p := s.answer(w, c); p != nil {
 		p.Request = v.Request
 		refused.Inc()
-		v.Log.Info().Str("Service", string(service)).Int("Status", p.Status).Str("Outcome", string(p.Outcome)).Str("Detail", p.Detail).Msg("service request refused")
+		v.Log.Info().Str("Service", c.shownService()).Int("Status", p.Status).Str("Outcome", string(p.Outcome)).Str("Detail", p.Detail).Msg("service request refused")
 		p.Write(w)
 	}
 }
@@ -172,14 +172,22 @@
 	return s.answerOnce(w, c)
 }
 
-// check refuses what must not be sent on.
-func (c *call) check() *problem.Problem {
-	if !c.permitted() {
-		return problem.New(http.StatusNotFound, problem.NotRun, "service %q is not in force for this workspace", c.service)
+// shownService returns the service's name for logs. A caller may have put the key in its place.
+func (c *call) shownService() string {
+	if caller.Holds(string(c.service), c.visit.Key) {
+		return ""
 	}
+	return string(c.service)
+}
+
+// check refuses what must not be sent on. A path with the key is refused first, as later refusals name the service.
+func (c *call) check() *problem.Problem {
 	if caller.Holds(c.r.URL.Path, c.visit.Key) {
 		return problem.New(http.StatusBadRequest, problem.NotRun, "the path holds the key")
 	}
+	if !c.permitted() {
+		return problem.New(http.StatusNotFound, problem.NotRun, "service %q is not in force for this workspace", c.service)
+	}
 	if !document.PlainPath(c.path) || strings.Contains(strings.ToLower(c.r.URL.RawPath), "%2f") {
 		return problem.New(http.StatusBadRequest, problem.NotRun, "the path has empty or dot segments, or an encoded slash")
 	}
--- a/shared/caller/caller_test.go
+++ b/shared/caller/caller_test.go
@@ -43,6 +43,16 @@
 	})
 }
 
+func TestKeyIsFoundWhateverTheCaseOfItsScheme(t *testing.T) {
+	for _, scheme := range []string{"Bearer", "bearer", "BEARER"} {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set("Authorization", scheme+" csh_key")
+		if got := caller.Key(r); got != "csh_key" {
+			t.Errorf("%s: got %q", scheme, got)
+		}
+	}
+}
+
 // TestOnceBodyIsNeverReplayed runs requests against a service that runs each request and closes the connection without an
 // answer whenever the connection was used before.
 func TestOnceBodyIsNeverReplayed(t *testing.T) {
