Count a peer's confirmation from the question, and check its documents

Cause: an entry dated a peer's "confirmed so long ago" from when the notice arrived. Behind a slow link, or after a pause, the confirmation got younger with every hop, and a workspace with KeyValidSeconds kept its keys for longer than its operators accepted. The table was also asked only every 1.5 to 2.5 s whatever the validity, so that a lone entry refused good keys while all was well. And a body from a peer was taken at any higher version, accepted or not.

Now an entry asks, and counts from its own question; it polls four times within the shortest validity; and while the table answers, a peer's document must be the one that the table holds. Without the table the peer is trusted, or a domain cut off from it would keep withdrawn keys.

Not covered: a holder of the peers' secret who speaks while the table is down.

Conclusion: keys stop when the document says.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -20,6 +19,7 @@
 // Topics of this package's messages.
 const (
 	TopicNotice  = "DocumentNotice"
+	TopicAsk     = "DocumentAsk"
 	TopicRequest = "DocumentRequest"
 	TopicBody    = "DocumentBody"
 	TopicApplied = "DocumentApplied"
@@ -57,13 +57,16 @@
 	// confirmed is when the version in force was last known to be the newest, in Unix nanoseconds; zero is never.
 	confirmed atomic.Int64
 	start     chan struct{}
+	// changed wakes the poll after a change, as the new document may have a shorter validity.
+	changed chan struct{}
 }
 
 // New returns a follower that begins with Start and runs until ctx ends.
 func New(ctx context.Context, self wire.Hello, current *document.Current, store Store, hub *channel.Hub, clock clockwork.Clock, logger *log.Logger) *Follower {
-	f := &Follower{self: self, current: current, store: store, hub: hub, clock: clock, logger: logger, start: make(chan struct{})}
-	f.every(ctx, func() time.Duration { return pollEvery*3/4 + rand.N(pollEvery/2) }, f.poll)
-	f.every(ctx, func() time.Duration { return noticeEvery }, func(context.Context) { f.notify("") })
+	f := &Follower{self: self, current: current, store: store, hub: hub, clock: clock, logger: logger, start: make(chan struct{}), changed: make(chan struct{}, 1)}
+	f.every(ctx, f.changed, func() time.Duration { return f.interval()*3/4 + rand.N(f.interval()/2) }, f.poll)
+	f.every(ctx, nil, func() time.Duration { return noticeEvery }, func(context.Context) { f.notify("") })
+	f.every(ctx, nil, func() time.Duration { return f.interval() / 2 }, f.ask)
 	return f
 }
 
@@ -72,8 +75,8 @@
 	close(f.start)
 }
 
-// every runs do again and again, from Start until ctx ends.
-func (f *Follower) every(ctx context.Context, interval func() time.Duration, do func(context.Context)) {
+// every runs do again and again, sooner when it is woken, from Start until ctx ends.
+func (f *Follower) every(ctx context.Context, woken <-chan struct{}, interval func() time.Duration, do func(context.Context)) {
 	go func() {
 		select {
 		case <-f.start:
@@ -83,6 +86,7 @@
 			do(ctx)
 			select {
 			case <-f.clock.After(interval()):
+			case <-woken:
 			case <-ctx.Done():
 			}
 		}
@@ -92,19 +96,19 @@
 // Route adds the handlers of this package's topics.
 func (f *Follower) Route(router *message.Router) {
 	channel.Handle(router, f.hub, TopicNotice, f.takeNotice)
+	channel.Handle(router, f.hub, TopicAsk, f.takeAsk)
 	channel.Handle(router, f.hub, TopicRequest, f.takeRequest)
 	channel.Handle(router, f.hub, TopicBody, f.takeBody)
 }
 
-// SinceConfirmed returns how long ago the document in force was last known to be the newest.
-func (f *Follower) SinceConfirmed() time.Duration {
-	return f.clock.Since(time.Unix(0, f.confirmed.Load()))
-}
-
 // Announce tells every linked instance that a version is in force here.
 func (f *Follower) Announce(a *document.Accepted) {
 	f.logger.Info().Int("Version", int(a.Version)).Str("Digest", string(a.Digest)).Msg("document in force")
 	f.notify("")
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
 	applied := wire.DocumentApplied{Version: a.Version, Instance: f.self.Instance, Domain: f.self.Domain}
 	if err := channel.Send(f.hub, "", TopicApplied, applied); err != nil {
 		f.logger.Debug().Err(err).Msg("cannot announce a document")
@@ -121,12 +125,9 @@
 }
 
 func (f *Follower) notify(to wire.InstanceName) {
-	a := f.current.Load()
-	if a == nil {
-		return
+	if notice, known := f.notice(0); known {
+		_ = channel.Send(f.hub, to, TopicNotice, notice)
 	}
-	notice := wire.DocumentNotice{Version: a.Version, Digest: a.Digest, ConfirmedAgoMillis: int(f.SinceConfirmed().Milliseconds())}
-	_ = channel.Send(f.hub, to, TopicNotice, notice)
 }
 
 // poll asks the table for the newest version.
@@ -134,24 +135,23 @@
 	asked := f.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, readWithin)
 	defer cancel()
+	before := f.current.Load()
 	rows, err := f.store.Read(ctx, Table, KeyCurrent)
 	if err != nil {
 		pollsFailed.Inc()
 		f.logger.Debug().Err(err).Msg("cannot read the document's row")
 		return
 	}
-	if len(rows) == 0 {
-		return
-	}
-	var row wire.DocumentRow
-	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+	row, err := decodeRow(rows)
+	if err != nil {
 		f.logger.Error().Err(err).Msg("the document's row does not decode")
 		return
 	}
+	f.judge(before, row)
 	if row.Version > f.current.Version() && !f.fetch(ctx, row) {
 		return
 	}
-	if f.current.Version() >= row.Version {
+	if a := f.current.Load(); a != nil && a.Version == row.Version && a.Digest == row.Digest {
 		f.confirm(asked)
 	}
 }
@@ -174,23 +174,11 @@
 	return true
 }
 
-// confirm notes that the version in force was the newest at a time.
-func (f *Follower) confirm(at time.Time) {
-	for {
-		old := f.confirmed.Load()
-		if at.UnixNano() <= old || f.confirmed.CompareAndSwap(old, at.UnixNano()) {
-			return
-		}
-	}
-}
-
 func (f *Follower) takeNotice(_ context.Context, from wire.InstanceName, n wire.DocumentNotice) error {
 	if n.Version > f.current.Version() {
 		return channel.Send(f.hub, from, TopicRequest, wire.DocumentRequest{Version: n.Version})
 	}
-	if n.Version == f.current.Version() {
-		f.confirm(f.clock.Now().Add(-time.Duration(n.ConfirmedAgoMillis) * time.Millisecond))
-	}
+	f.confirmFrom(n)
 	return nil
 }
 
@@ -201,8 +189,3 @@
 	}
 	return channel.Send(f.hub, from, TopicBody, wire.DocumentBody{Version: a.Version, Digest: a.Digest, Text: a.Text})
 }
-
-func (f *Follower) takeBody(_ context.Context, _ wire.InstanceName, b wire.DocumentBody) error {
-	_, err := f.current.Take(b.Version, b.Digest, b.Text)
-	return err
-}
--- a/entry/operator/show.go
+++ b/entry/operator/show.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"cowslipshunt.example/entry/follower"
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/wire"
 )
@@ -25,7 +26,7 @@
 func (s *Server) load(ctx context.Context, version wire.DocumentVersion) (wire.DocumentAnswer, error) {
 	key := keyCurrent
 	if version > 0 {
-		key = versionKey(version)
+		key = follower.VersionKey(version)
 	}
 	rows, err := s.store.Read(ctx, tableDocument, key)
 	if err != nil {
--- a/entry/operator/submit.go
+++ b/entry/operator/submit.go
@@ -132,7 +132,7 @@
 
 // lostOrOwn tells a lost race from an own write whose answer was lost.
 func (s *Server) lostOrOwn(ctx context.Context, row wire.DocumentRow) error {
-	rows, err := s.store.Read(ctx, tableDocument, versionKey(row.Version))
+	rows, err := s.store.Read(ctx, tableDocument, follower.VersionKey(row.Version))
 	if err != nil {
 		return err
 	}
@@ -176,15 +176,11 @@
 	}
 	return []wire.Write{
 		{Table: tableDocument, Key: keyCurrent, Value: value},
-		{Table: tableDocument, Key: versionKey(row.Version), Value: value},
+		{Table: tableDocument, Key: follower.VersionKey(row.Version), Value: value},
 		{Table: tableAudit, Key: fmt.Sprintf(auditKeyPattern, row.At.UnixNano(), uuid.NewString()), Value: audit},
 	}, nil
 }
 
-func versionKey(v wire.DocumentVersion) string {
-	return fmt.Sprintf("version/%010d", int(v))
-}
-
 // confirmed waits a while for every instance and tells which failure domains have the version in force.
 func (s *Server) confirmed(ctx context.Context, row wire.DocumentRow) wire.SubmitAnswer {
 	deadline := s.clock.After(confirmWithin)
@@ -247,5 +243,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return document.Parse(versionKey(version), []byte(answer.Text))
+	return document.Parse(follower.VersionKey(version), []byte(answer.Text))
 }
--- a/proof/key_test.go
+++ b/proof/key_test.go
@@ -33,8 +33,10 @@
 
 // keptCaller sends requests to one entry over one kept connection until it is ended.
 type keptCaller struct {
-	m       *member
-	caller  *caller
+	m      *member
+	caller *caller
+	// call makes a request from the caller; n counts them.
+	call    func(c *caller, address string, n int) (*http.Request, error)
 	end     chan struct{}
 	done    chan struct{}
 	conns   atomic.Int64
@@ -46,17 +48,27 @@
 	last, first time.Time
 }
 
-// keepCalling starts a kept caller at each entry, spread over the pause between two requests.
-func keepCalling(s *system, key string) []*keptCaller {
+// keepCalling starts a kept caller at each of some entries, spread over the pause between two requests.
+func keepCalling(members []*member, key string, call func(c *caller, address string, n int) (*http.Request, error)) []*keptCaller {
 	var list []*keptCaller
-	for i, m := range s.members {
-		k := &keptCaller{m: m, caller: newCaller(key), end: make(chan struct{}), done: make(chan struct{})}
-		go k.run(keptEvery * time.Duration(i) / time.Duration(len(s.members)))
+	for i, m := range members {
+		k := &keptCaller{m: m, caller: newCaller(key), call: call, end: make(chan struct{}), done: make(chan struct{})}
+		go k.run(keptEvery * time.Duration(i) / time.Duration(len(members)))
 		list = append(list, k)
 	}
 	return list
 }
 
+// askModel asks the model for one token.
+func askModel(c *caller, address string, n int) (*http.Request, error) {
+	return c.request(http.MethodPost, address, "/v1/chat/completions", chatBody(fmt.Sprintf("kept %d", n), 1, false), nil)
+}
+
+// listModels asks only the entry, so that its speed depends on no endpoint, peer or table.
+func listModels(c *caller, address string, _ int) (*http.Request, error) {
+	return c.request(http.MethodGet, address, "/v1/models", "", nil)
+}
+
 func (k *keptCaller) run(phase time.Duration) {
 	defer close(k.done)
 	<-time.After(phase)
@@ -73,7 +85,7 @@
 }
 
 func (k *keptCaller) once(n int) result {
-	r, err := k.caller.request(http.MethodPost, k.m.address, "/v1/chat/completions", chatBody(fmt.Sprintf("kept %d", n), 1, false), nil)
+	r, err := k.call(k.caller, k.m.address, n)
 	if err != nil {
 		return result{err: err}
 	}
@@ -121,23 +133,12 @@
 	}
 }
 
-// lastOf returns the last success of all callers.
-func lastOf(list []*keptCaller) time.Time {
-	var last time.Time
-	for _, k := range list {
-		if k.last.After(last) {
-			last = k.last
-		}
-	}
-	return last
-}
-
 // TestKeyWithdrawnIsRefusedEverywhere withdraws a key while callers use it on kept connections at every entry and while a
 // stream is in progress at each.
 func TestKeyWithdrawnIsRefusedEverywhere(t *testing.T) {
 	t.Setenv(exitAtOnce, exitAtOnceValue)
 	s := newSmall(t, twoDomains())
-	callers := keepCalling(s, testKey)
+	callers := keepCalling(s.members, testKey, askModel)
 	streams := s.startStreams(t, 1500)
 	for _, k := range callers {
 		eventually(t, k.m.name+" serves the key", func() bool { n, _ := k.counts(); return n >= 5 })
@@ -157,7 +158,7 @@
 			t.Errorf("%s served the key %v after it had refused it", k.m.name, k.last.Sub(k.first))
 		}
 	}
-	last := lastOf(callers)
+	last := lastSuccess(callers)
 	if took := last.Sub(begun); took > inForceWithin {
 		t.Errorf("the key worked for %v after the withdrawal began", took)
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -161,6 +161,13 @@
 	Version DocumentVersion `json:"Version"`
 }
 
+// DocumentAsk asks a peer for a DocumentNotice. At is the asker's own clock in
+// Unix nanoseconds; the answer carries it back.
+type DocumentAsk struct {
+	// At corresponds to the JSON schema field "At".
+	At int `json:"At"`
+}
+
 // DocumentBody carries an accepted document's text.
 type DocumentBody struct {
 	// Digest corresponds to the JSON schema field "Digest".
@@ -176,6 +183,9 @@
 // DocumentNotice tells that a document version is in force at the sender, and how
 // long ago the table confirmed it as the newest.
 type DocumentNotice struct {
+	// At of the DocumentAsk that this answers, or 0.
+	AskedAt int `json:"AskedAt"`
+
 	// ConfirmedAgoMillis corresponds to the JSON schema field "ConfirmedAgoMillis".
 	ConfirmedAgoMillis int `json:"ConfirmedAgoMillis"`
 
