Find fields that stand twice in a table in different case

Cause: the decoder matches names whatever their case, so Name and name in one table were both taken and the later one won in silence; an operator who checked the first did not see what was accepted.

Now the second one is a finding with its place, in settings and documents, for fields, tables, arrays of tables and inline tables; like unknown fields it is reported together with all other findings. Findings within inline tables have their own place now, and a field in another case than ours has its place too.

Ruled out: the same name in the same case, which the decoder refuses already.

Conclusion: what stands in a file once is what is in force.

--- a/shared/document/parse.go
+++ b/shared/document/parse.go
@@ -25,7 +25,7 @@
 }
 
 func unreadable(f finding.Finding) bool {
-	return f.Text != setting.UnknownField
+	return f.Text != setting.UnknownField && f.Text != setting.DuplicateField
 }
 
 func sortByPlace(list finding.List) {
--- a/shared/setting/place.go
+++ b/shared/setting/place.go
@@ -15,10 +15,18 @@
 // read everything else.
 const UnknownField = "unknown field"
 
+// DuplicateField is the text of a finding about a field that stands in its table before in another case. The case of names
+// does not matter, so the later one would win in silence. Decode reports these too after it has read everything else.
+const DuplicateField = "is given before in another case"
+
 // Places maps the fields of one TOML file to where they stand.
 type Places struct {
 	file string
-	at   map[string]unstable.Position
+	// at has the fields' names in lower case.
+	at map[string]unstable.Position
+	// spelt is how each field and table was spelt first, by its name in lower case.
+	spelt      map[string]string
+	duplicates finding.List
 }
 
 // Finding returns a finding at a field such as "Workspace[1].Key[0].Digest". A field that the file lacks takes the place
@@ -26,7 +34,7 @@
 func (p *Places) Finding(field, format string, args ...any) finding.Finding {
 	f := finding.Finding{File: p.file, Field: field, Text: fmt.Sprintf(format, args...)}
 	for path := field; path != ""; path = parent(path) {
-		if at, ok := p.at[path]; ok {
+		if at, ok := p.at[strings.ToLower(path)]; ok {
 			f.Line, f.Column = at.Line, at.Column
 			break
 		}
@@ -44,11 +52,11 @@
 
 // Decode reads TOML text into a struct. Unknown fields, wrong types and syntax errors are findings.
 func Decode(file string, data []byte, into any) (*Places, finding.List) {
-	places := &Places{file: file, at: map[string]unstable.Position{}}
+	places := &Places{file: file, at: map[string]unstable.Position{}, spelt: map[string]string{}}
 	places.scan(data)
 	decoder := toml.NewDecoder(strings.NewReader(string(data)))
 	decoder.DisallowUnknownFields()
-	return places, places.findings(decoder.Decode(into))
+	return places, append(places.findings(decoder.Decode(into)), places.duplicates...)
 }
 
 func (p *Places) findings(err error) finding.List {
@@ -93,7 +101,28 @@
 			table = fmt.Sprintf("%s[%d]", table, n)
 			p.note(&parser, node, table)
 		case unstable.KeyValue:
-			p.note(&parser, node, join(table, strings.Join(keys(node), ".")))
+			p.noteValue(&parser, node, table)
+		}
+	}
+}
+
+// noteValue notes a key and what its value holds in inline tables.
+func (p *Places) noteValue(parser *unstable.Parser, node *unstable.Node, table string) {
+	path := join(table, strings.Join(keys(node), "."))
+	p.note(parser, node, path)
+	p.inside(parser, node.Value(), path)
+}
+
+func (p *Places) inside(parser *unstable.Parser, value *unstable.Node, path string) {
+	n := 0
+	for it := value.Children(); it.Next(); {
+		child := it.Node()
+		switch {
+		case value.Kind == unstable.InlineTable:
+			p.noteValue(parser, child, path)
+		case value.Kind == unstable.Array:
+			p.inside(parser, child, fmt.Sprintf("%s[%d]", path, n))
+			n++
 		}
 	}
 }
@@ -115,7 +144,25 @@
 	if !it.Next() {
 		return
 	}
-	p.at[path] = parser.Shape(it.Node().Raw).Start
+	at := parser.Shape(it.Node().Raw).Start
+	p.at[strings.ToLower(path)] = at
+	p.spell(path, at)
+}
+
+// spell finds a field, or a table around it, that was spelt in another case before.
+func (p *Places) spell(path string, at unstable.Position) {
+	for name := path; name != ""; name = parent(name) {
+		lower := strings.ToLower(name)
+		first, seen := p.spelt[lower]
+		if !seen {
+			p.spelt[lower] = name
+			continue
+		}
+		if first != name {
+			p.duplicates = append(p.duplicates, finding.Finding{File: p.file, Line: at.Line, Column: at.Column, Field: path, Text: DuplicateField})
+			return
+		}
+	}
 }
 
 func keys(node *unstable.Node) []string {
--- a/shared/setting/setting_test.go
+++ b/shared/setting/setting_test.go
@@ -48,6 +48,14 @@
 	}{
 		{"good", "Name='a'\nAddress='127.0.0.1:80'\n", ""},
 		{"unknown fields", "Nam='a'\nAddres='b'\n", "sample.toml:1:1: Nam: unknown field\nsample.toml:2:1: Addres: unknown field"},
+		{"fields twice", "Name='a'\nname='b'\nAddress='127.0.0.1:80'\n", "sample.toml:2:1: name: is given before in another case"},
+		{"fields of a table twice", "Name='a'\nAddress='127.0.0.1:80'\n[[Peer]]\nADDRESS='127.0.0.1:1'\nAddress='127.0.0.1:2'\n[[Peer]]\naddress='127.0.0.1:3'\n",
+			"sample.toml:5:1: Peer[0].Address: is given before in another case"},
+		{"tables twice", "Name='a'\nAddress='127.0.0.1:80'\n[[Peer]]\nAddress='127.0.0.1:1'\n[[peer]]\nAddress='127.0.0.1:2'\n",
+			"sample.toml:5:3: peer[0]: is given before in another case\nsample.toml:6:1: peer[0].Address: is given before in another case"},
+		{"inline twice", "Name='a'\nAddress='127.0.0.1:80'\nPeer=[{Port=1, port=2, Address='127.0.0.1:1'}]\n",
+			"sample.toml:3:16: Peer[0].port: is given before in another case"},
+		{"another case", "name='a'\naddress='x'\n", "sample.toml:2:1: Address: \"x\" is no IP number with a port"},
 		{"checks", "Address='x'\n[[Peer]]\nAddress='127.0.0.1:1'\n[[Peer]]\nAddress='y'\n",
 			"sample.toml: Name: is missing\nsample.toml:1:1: Address: \"x\" is no IP number with a port\nsample.toml:5:1: Peer[1].Address: \"y\" is no IP number with a port"},
 	}
