Bill a caller who leaves for its prompt too

Cause: an answer cut by its caller was billed its output tokens only, for the engine counts the prompt in its last event alone. Ruled out: counting prompt tokens in the entry, which knows no tokenizer. Conclusion: a bill is what the engine counted for what the caller got.

--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -99,3 +99,12 @@
 		PromptTokensDetails: tokenDetails{CachedTokens: cached},
 	}
 }
+
+// soFar returns the usage after some output tokens, if the request wants it with each token.
+func (j *job) soFar(output int) *usage {
+	if !j.usageSoFar {
+		return nil
+	}
+	u := j.usage(output, 0)
+	return &u
+}
--- a/standin/engine/job.go
+++ b/standin/engine/job.go
@@ -35,6 +35,7 @@
 	limit        int
 	stream       bool
 	includeUsage bool
+	usageSoFar   bool
 	header       map[string]string
 }
 
@@ -57,6 +58,7 @@
 		resumed:      len(body.ResumeTokens),
 		stream:       body.Stream,
 		includeUsage: body.StreamOptions != nil && body.StreamOptions.IncludeUsage,
+		usageSoFar:   body.StreamOptions != nil && body.StreamOptions.ContinuousUsage,
 		header:       standin.FlatHeader(r.Header),
 	}
 	return j, errors.Join(j.readNumbers(r.Header), j.readPrompt(s, &body), j.readLimit(&body))
--- a/standin/engine/openai.go
+++ b/standin/engine/openai.go
@@ -15,6 +15,8 @@
 
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
+	// ContinuousUsage asks for the usage so far with each token.
+	ContinuousUsage bool `json:"continuous_usage_stats"`
 }
 
 type message struct {
--- a/standin/engine/sink.go
+++ b/standin/engine/sink.go
@@ -44,6 +44,8 @@
 	answer       answer
 	eventPrefix  string
 	includeUsage bool
+	// soFar returns the usage after some output tokens, or nil if it is not wanted with each token.
+	soFar func(output int) *usage
 }
 
 func newStreamSink(w http.ResponseWriter, a answer, shown wire.RequestId, j *job) *streamSink {
@@ -52,11 +54,14 @@
 		answer:       a,
 		eventPrefix:  fmt.Sprintf("%s/%d/", shown, j.attempt),
 		includeUsage: j.includeUsage,
+		soFar:        j.soFar,
 	}
 }
 
 func (s *streamSink) token(n int, text string) error {
-	return s.send(fmt.Sprint(n), s.answer.token(n, text))
+	c := s.answer.token(n, text)
+	c.Usage = s.soFar(n + 1)
+	return s.send(fmt.Sprint(n), c)
 }
 
 func (s *streamSink) end(u usage) error {
