Measure the slopes of capacity and what an entry adds

Cause: the capacity page needs figures for each role that are worked out from measured slopes; none were measured. Ruled out: HdrHistogram for percentiles: tidying a module that needs it reads its tests' modules, which are not at hand. Percentiles are exact ones of all sorted times instead. Figures: none here; make capacity and make bench write them to docs/. Conclusion: benchmarks beside the packages, and proof/capacity for real programs. They run only with -bench.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 CHECKS := 100
 SEED := 1
 
-.PHONY: build format tidy lint test demo bench generate clean
+.PHONY: build format tidy lint test demo capacity bench generate clean
 
 build:
 	@mkdir -p $(BIN)
@@ -34,6 +34,25 @@
 	@if [ -n "$(FUZZED)" ]; then \
 		go test -race -count=1 $(FUZZED) -args -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -rapid.nofailfile; fi
 
+# Packages whose benchmarks give the slopes of docs/CAPACITY.md; what runs real programs is in proof/capacity.
+MEASURED := document endpoint queue usage channel booking
+SLOPES := $(MEASURED:%=./shared/%) ./entry/answer ./entry/billing ./entry/follower
+BENCHTIME := 300ms
+HEADING = echo "$$(date -u +%F), $$(go env GOVERSION), $$(nproc) cores shared with other work"
+
+capacity: build
+	@set -o pipefail; { echo "make capacity"; $(HEADING); \
+		go test -run '^$$' -bench . -benchtime $(BENCHTIME) $(SLOPES) && \
+		go test -run '^$$' -bench IdleEntry -benchtime 1x ./proof/capacity; \
+		} | grep -v '^cpu:' | tee $(BIN)/slopes.txt
+	@mv $(BIN)/slopes.txt docs/capacity-slopes.txt
+
+bench: build
+	@set -o pipefail; { echo "make bench"; $(HEADING); \
+		go test -run '^$$' -bench Overhead -benchtime 1x ./proof/capacity; \
+		} | grep -v '^cpu:' | tee $(BIN)/bench.txt
+	@mv $(BIN)/bench.txt docs/bench.txt
+
 generate:
 	go tool go-jsonschema -p wire --only-models --tags json -o wire/wire.go wire/schema/wire.json
 
--- /dev/null
+++ b/proof/capacity/entry_test.go
@@ -0,0 +1,147 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"cowslipshunt.example/shared/channel"
+	"cowslipshunt.example/shared/document"
+	control "cowslipshunt.example/shared/process"
+	"cowslipshunt.example/wire"
+)
+
+// What all benchmarks of this package use.
+const (
+	domain    = "domain-1"
+	operator  = "operator-token"
+	callerKey = "csh_caller"
+)
+
+type peerSettings struct {
+	Instance, Domain, Address string
+}
+
+type operatorSettings struct {
+	Name, TokenDigest string
+}
+
+// entrySettings are the settings of an entry that the benchmarks need.
+type entrySettings struct {
+	Instance, Domain, LogLevel                                         string
+	Address, OperatorAddress, PeerAddress, OperationsAddress, Platform string
+	Peer                                                               []peerSettings
+	Operator                                                           []operatorSettings
+}
+
+func newEntrySettings(b *testing.B, name, platform string) *entrySettings {
+	b.Helper()
+	return &entrySettings{
+		Instance: name, Domain: domain, LogLevel: "info", Platform: platform,
+		Address: freeAddress(b), OperatorAddress: freeAddress(b), PeerAddress: freeAddress(b), OperationsAddress: freeAddress(b),
+		Operator: []operatorSettings{{Name: "bench", TokenDigest: string(document.KeyDigest(operator))}},
+	}
+}
+
+func (s *entrySettings) know(other *entrySettings) {
+	s.Peer = append(s.Peer, peerSettings{Instance: other.Instance, Domain: other.Domain, Address: other.PeerAddress})
+}
+
+// startPlatform runs the platform's stand-in and returns its address.
+func startPlatform(b *testing.B) string {
+	b.Helper()
+	address, operations := freeAddress(b), freeAddress(b)
+	start(b, "standin-platform", map[string]any{"Address": address, "OperationsAddress": operations, "Instance": "platform", "LogLevel": "error"})
+	waitReady(b, operations)
+	return address
+}
+
+func waitReady(b *testing.B, operations string) {
+	b.Helper()
+	waitFor(b, "ready", func() bool {
+		resp, err := http.Get("http://" + operations + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// ask calls the operators' interface and decodes the answer.
+func (s *entrySettings) ask(method, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, "http://"+s.OperatorAddress+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+operator)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", resp.StatusCode, answer)
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(answer, into)
+}
+
+// submit makes a document the first one.
+func (s *entrySettings) submit(b *testing.B, d *document.Document) {
+	b.Helper()
+	text, err := document.Encode(d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	waitFor(b, "the operators' interface", func() bool { return s.ask(http.MethodGet, "/v1/status", nil, &wire.StatusAnswer{}) == nil })
+	request := wire.SubmitRequest{File: "bench.toml", Text: string(text), Why: "bench"}
+	if err := s.ask(http.MethodPost, "/v1/document", request, &wire.SubmitAnswer{}); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// status returns what the entry says of itself.
+func (s *entrySettings) status(b *testing.B) wire.StatusAnswer {
+	b.Helper()
+	var answer wire.StatusAnswer
+	if err := s.ask(http.MethodGet, "/v1/status", nil, &answer); err != nil {
+		b.Fatal(err)
+	}
+	return answer
+}
+
+// hold links to the entry as the holder of its domain's lease and gives it endpoints.
+func (s *entrySettings) hold(b *testing.B, endpoints []wire.EndpointState) {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	self := wire.Hello{Instance: "holder", Incarnation: "holder", Domain: domain, Program: wire.ProgramController, Epoch: 1}
+	hub := channel.NewHub(self, control.NewLogger(io.Discard, "error", "bench", "holder"))
+	b.Cleanup(func() {
+		cancel()
+		_ = hub.Close()
+	})
+	up, err := hub.Subscribe(ctx, channel.TopicLinkUp)
+	if err != nil {
+		b.Fatal(err)
+	}
+	hub.Dial(ctx, s.PeerAddress)
+	m := <-up
+	m.Ack()
+	states := wire.EndpointStates{Domain: domain, Epoch: 1, Sequence: 1, Endpoints: endpoints}
+	if err := channel.Send(hub, "", "EndpointStates", states); err != nil {
+		b.Fatal(err)
+	}
+	waitFor(b, "the endpoints", func() bool { return len(s.status(b).Endpoints) == len(endpoints) })
+}
