--- /dev/null
+++ b/shared/usage/held_test.go
@@ -0,0 +1,57 @@
+package usage_test
+
+import (
+	"reflect"
+	"testing"
+
+	"cowslipshunt.example/shared/usage"
+	"cowslipshunt.example/wire"
+	"pgregory.net/rapid"
+)
+
+// drawTotals draws one of an incarnation's messages: figures that only grow with their number of requests.
+func drawTotals(t *rapid.T) wire.UsageTotals {
+	totals := wire.UsageTotals{Incarnation: "incarnation", Sequence: rapid.IntRange(1, 9).Draw(t, "sequence")}
+	for _, model := range rapid.SliceOfNDistinct(rapid.IntRange(0, 3), 1, 4, rapid.ID[int]).Draw(t, "models") {
+		requests := rapid.IntRange(1, 5).Draw(t, "requests")
+		f := benchFigure(0, model)
+		f.Requests, f.OutputTokens = requests, wire.TokenCount(270*requests)
+		totals.Figures = append(totals.Figures, f)
+	}
+	return totals
+}
+
+func TestHeldIsTheMergeOfAllMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		held := usage.NewHeld()
+		var want wire.UsageTotals
+		for _, totals := range rapid.SliceOfN(rapid.Custom(drawTotals), 1, 8).Draw(t, "messages") {
+			if !held.Take("peer", totals) {
+				t.Fatal("totals were not taken")
+			}
+			want = usage.Merge(want, totals)
+		}
+		if got := held.Of("peer"); len(got) != 1 || !reflect.DeepEqual(got[0], want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+		held.Stored("incarnation", want.Sequence-1)
+		if len(held.Instances()) != 1 {
+			t.Fatal("totals were dropped that the table does not have")
+		}
+		held.Stored("incarnation", want.Sequence)
+		if len(held.Instances()) != 0 {
+			t.Fatal("totals are held that the table has")
+		}
+	})
+}
+
+func TestHeldKeepsWhatEachIncarnationSent(t *testing.T) {
+	held := usage.NewHeld()
+	for _, incarnation := range []wire.IncarnationId{"old", "new"} {
+		held.Take("peer", wire.UsageTotals{Incarnation: incarnation, Sequence: 1, Figures: []wire.UsageFigure{benchFigure(0, 0)}})
+	}
+	held.Stored("unknown", 9)
+	if got := held.Of("peer"); len(got) != 2 {
+		t.Fatalf("got %d incarnations, want 2", len(got))
+	}
+}
--- a/shared/usage/merge.go
+++ b/shared/usage/merge.go
@@ -10,22 +10,38 @@
 // Merge returns the larger of two cumulative totals of one incarnation, counter by counter. It is idempotent and does not
 // depend on order, so late, repeated and crossed totals do no harm.
 func Merge(a, b wire.UsageTotals) wire.UsageTotals {
-	larger := map[cell]wire.UsageFigure{}
-	for _, f := range slices.Concat(a.Figures, b.Figures) {
-		at := cell{workspace: f.Workspace, model: f.Model}
-		if old, known := larger[at]; !known || old.Requests < f.Requests {
-			larger[at] = f
+	larger := make(map[cell]wire.UsageFigure, max(len(a.Figures), len(b.Figures)))
+	for _, figures := range [][]wire.UsageFigure{a.Figures, b.Figures} {
+		for _, f := range figures {
+			takeLarger(larger, f)
 		}
 	}
-	merged := wire.UsageTotals{Incarnation: a.Incarnation, Sequence: max(a.Sequence, b.Sequence)}
-	if merged.Incarnation == "" {
-		merged.Incarnation = b.Incarnation
+	return wire.UsageTotals{
+		Incarnation: cmp.Or(a.Incarnation, b.Incarnation),
+		Sequence:    max(a.Sequence, b.Sequence),
+		Figures:     sorted(larger),
 	}
-	for _, f := range larger {
-		merged.Figures = append(merged.Figures, f)
+}
+
+// takeLarger keeps a figure unless there is one of as many requests.
+func takeLarger(figures map[cell]wire.UsageFigure, f wire.UsageFigure) {
+	at := cell{workspace: f.Workspace, model: f.Model}
+	if old, known := figures[at]; !known || old.Requests < f.Requests {
+		figures[at] = f
+	}
+}
+
+// sorted returns figures in their order, nil for none.
+func sorted(figures map[cell]wire.UsageFigure) []wire.UsageFigure {
+	if len(figures) == 0 {
+		return nil
+	}
+	list := make([]wire.UsageFigure, 0, len(figures))
+	for _, f := range figures {
+		list = append(list, f)
 	}
-	SortFigures(merged.Figures)
-	return merged
+	SortFigures(list)
+	return list
 }
 
 // SortFigures orders figures by workspace and model.
