Ask one peer at a time for a new document

Cause: every peer announces a new document at nearly the same time, and an entry asked each of them for the whole text until the first one was in force. Ruled out: asking only the table: a domain that is cut off from the platform learns of documents from peers alone. Conclusion: the next peer is asked after 0.5 s, so a peer that fails meanwhile delays the change by that and its next notice at most.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -30,6 +30,8 @@
 	pollEvery   = 2 * time.Second
 	noticeEvery = time.Second
 	readWithin  = 3 * time.Second
+	// askAgain is when another peer is asked for a document that the first one has not sent.
+	askAgain = 500 * time.Millisecond
 )
 
 // Keys of the document's table.
@@ -57,6 +59,7 @@
 	// confirmed is when the version in force was last known to be the newest, in Unix nanoseconds; zero is never.
 	confirmed atomic.Int64
 	start     chan struct{}
+	asked     asked
 }
 
 // New returns a follower that begins with Start and runs until ctx ends.
@@ -186,6 +189,9 @@
 
 func (f *Follower) takeNotice(_ context.Context, from wire.InstanceName, n wire.DocumentNotice) error {
 	if n.Version > f.current.Version() {
+		if !f.asked.first(n.Version, f.clock.Now()) {
+			return nil
+		}
 		return channel.Send(f.hub, from, TopicRequest, wire.DocumentRequest{Version: n.Version})
 	}
 	if n.Version == f.current.Version() {
