See a cut by a planned change though another engine would mend it

Cause: with the drain switched off (trial), the tests of the lease still passed: the entry resumed the streams that the engines cut. Ruled out: counting retries in the entry's metrics; the engines' record is nearer. Conclusion: the drain, and not only the resume, keeps planned changes whole.

--- a/proof/lease_test.go
+++ b/proof/lease_test.go
@@ -124,6 +124,17 @@
 	}
 }
 
+// checkNothingCut demands that no engine cut a request short, though another one would have resumed it. It is for tests in
+// which only planned changes happen, after the load has ended.
+func (s *system) checkNothingCut(t *testing.T) {
+	t.Helper()
+	for _, r := range s.engineRuns() {
+		if !r.Finished {
+			t.Errorf("attempt %d of request %s was cut after %d tokens; cancelled: %v", r.Attempt, r.Request, r.Emitted, r.Cancelled)
+		}
+	}
+}
+
 // submitModelVersion submits a document with another version of the model.
 func (s *system) submitModelVersion(base int, version wire.ModelVersion) {
 	s.t.Helper()
@@ -178,6 +189,7 @@
 			l.finish(t, 10)
 			watched.finish(t)
 			s.checkOrders(t)
+			s.checkNothingCut(t)
 		})
 	}
 }
@@ -204,4 +216,5 @@
 	l.finish(t, 10)
 	watched.finish(t)
 	s.checkOrders(t)
+	s.checkNothingCut(t)
 }
