Send a restarted peer all usage again, and leave none behind at a stop

Cause: a recorder knew the peer that holds its totals by instance name. A peer that was killed and restarted held nothing, but got only what changed since; a kill of the owner then lost answered requests. A confirmation of the dead peer that came late had the same effect. So the recorder goes by the peer's incarnation, and a confirmation names its holder. Beside it: Close could return although a request ended during its last write; Close left behind what it held for a peer killed in the seconds before; requests cut at a stop's deadline could end after Close; Merge chose a whole figure by its count of requests.

Not tested: the wait for requests that are cut at a stop's deadline.

--- a/entry/billing/recorder.go
+++ b/entry/billing/recorder.go
@@ -37,13 +37,20 @@
 	notHeld    = metrics.NewCounter(`entry_usage_held_total{outcome="late"}`)
 )
 
+// Links are the control links to peers.
+type Links interface {
+	message.Publisher
+	// Links returns the peers that are linked now.
+	Links() []wire.Hello
+}
+
 // Recorder bills requests of one incarnation.
 type Recorder struct {
 	self   wire.Hello
 	meter  *usage.Meter
 	held   *usage.Held
 	store  *rows
-	hub    *channel.Hub
+	links  Links
 	clock  clockwork.Clock
 	logger *log.Logger
 	kick   chan struct{}
@@ -53,29 +60,35 @@
 	safe   int
 	stored int
 	waits  map[chan struct{}]int
-	peer   wire.InstanceName
+	// peer holds this incarnation's totals up to peerAt. A peer that started anew holds nothing.
+	peer   wire.Hello
 	peerAt int
 	absent map[wire.InstanceName]time.Time
 }
 
 // New returns a recorder that runs until ctx ends.
-func New(ctx context.Context, self wire.Hello, table Table, hub *channel.Hub, clock clockwork.Clock, logger *log.Logger) *Recorder {
-	r := &Recorder{
+func New(ctx context.Context, self wire.Hello, table Table, links Links, clock clockwork.Clock, logger *log.Logger) *Recorder {
+	r := newRecorder(self, table, links, clock, logger)
+	r.every(ctx, resendAfter, r.kick, func(context.Context) { r.sendToPeer() })
+	r.every(ctx, storeEvery, nil, func(ctx context.Context) { r.storeOwn(ctx, false) })
+	r.every(ctx, rescueEvery, nil, func(ctx context.Context) { r.rescue(ctx, rescueAfter) })
+	return r
+}
+
+// newRecorder returns a recorder that does nothing by itself.
+func newRecorder(self wire.Hello, table Table, links Links, clock clockwork.Clock, logger *log.Logger) *Recorder {
+	return &Recorder{
 		self:   self,
 		meter:  usage.NewMeter(self.Incarnation),
 		held:   usage.NewHeld(),
 		store:  &rows{table: table},
-		hub:    hub,
+		links:  links,
 		clock:  clock,
 		logger: logger,
 		kick:   make(chan struct{}, 1),
 		waits:  map[chan struct{}]int{},
 		absent: map[wire.InstanceName]time.Time{},
 	}
-	r.every(ctx, resendAfter, r.kick, func(context.Context) { r.sendToPeer() })
-	r.every(ctx, storeEvery, nil, func(ctx context.Context) { r.storeOwn(ctx, false) })
-	r.every(ctx, rescueEvery, nil, r.rescue)
-	return r
 }
 
 // every runs f again and again until ctx ends: after each interval, and at once when kicked.
@@ -96,10 +109,10 @@
 }
 
 // Route adds the handlers of this package's topics.
-func (r *Recorder) Route(router *message.Router) {
-	channel.Handle(router, r.hub, TopicTotals, r.takeTotals)
-	channel.Handle(router, r.hub, TopicHeld, r.takeHeld)
-	channel.Handle(router, r.hub, TopicStored, r.takeStored)
+func (r *Recorder) Route(router *message.Router, hub *channel.Hub) {
+	channel.Handle(router, hub, TopicTotals, r.takeTotals)
+	channel.Handle(router, hub, TopicHeld, r.takeHeld)
+	channel.Handle(router, hub, TopicStored, r.takeStored)
 }
 
 // Record bills a request and waits until a peer or the table has the figure, but not for long: with no peer in reach, the
@@ -153,60 +166,55 @@
 
 // sendToPeer sends what changed since the peer's last confirmation. A peer that is new to this gets everything.
 func (r *Recorder) sendToPeer() {
-	peer := r.choosePeer()
-	if peer == "" {
-		return
-	}
-	r.mu.Lock()
-	from := r.peerAt
-	r.mu.Unlock()
-	if from >= r.meter.Sequence() {
+	peer, from := r.choosePeer()
+	if peer == "" || from >= r.meter.Sequence() {
 		return
 	}
-	if err := channel.Send(r.hub, peer, TopicTotals, r.meter.Since(from)); err != nil {
+	if err := channel.Send(r.links, peer, TopicTotals, r.meter.Since(from)); err != nil {
 		r.logger.Debug().Err(err).Str("Peer", string(peer)).Msg("cannot send usage")
 	}
 }
 
-// choosePeer returns the linked entry of this failure domain whose name comes next, so that load spreads.
-func (r *Recorder) choosePeer() wire.InstanceName {
-	var next, first wire.InstanceName
-	for _, hello := range r.hub.Links() {
+// choosePeer returns the linked entry of this failure domain whose name comes next, so that load spreads, and up to which
+// sequence number it holds the totals.
+func (r *Recorder) choosePeer() (wire.InstanceName, int) {
+	var next, first wire.Hello
+	for _, hello := range r.links.Links() {
 		if hello.Program != wire.ProgramEntry || hello.Domain != r.self.Domain {
 			continue
 		}
-		name := hello.Instance
-		if first == "" || name < first {
-			first = name
+		if first.Instance == "" || hello.Instance < first.Instance {
+			first = hello
 		}
-		if name > r.self.Instance && (next == "" || name < next) {
-			next = name
+		if hello.Instance > r.self.Instance && (next.Instance == "" || hello.Instance < next.Instance) {
+			next = hello
 		}
 	}
-	if next == "" {
+	if next.Instance == "" {
 		next = first
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if next != r.peer {
+	if next.Incarnation != r.peer.Incarnation {
 		r.peer, r.peerAt = next, 0
 	}
-	return next
+	return next.Instance, r.peerAt
 }
 
 func (r *Recorder) takeTotals(_ context.Context, from wire.InstanceName, totals wire.UsageTotals) error {
 	if !r.held.Take(from, totals) {
 		return nil
 	}
-	return channel.Send(r.hub, from, TopicHeld, wire.UsageHeld{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
+	held := wire.UsageHeld{Holder: r.self.Incarnation, Incarnation: totals.Incarnation, Sequence: totals.Sequence}
+	return channel.Send(r.links, from, TopicHeld, held)
 }
 
-func (r *Recorder) takeHeld(_ context.Context, from wire.InstanceName, held wire.UsageHeld) error {
+func (r *Recorder) takeHeld(_ context.Context, _ wire.InstanceName, held wire.UsageHeld) error {
 	if held.Incarnation != r.self.Incarnation {
 		return nil
 	}
 	r.mu.Lock()
-	if from == r.peer {
+	if held.Holder == r.peer.Incarnation {
 		r.peerAt = max(r.peerAt, held.Sequence)
 	}
 	r.mu.Unlock()
@@ -222,17 +230,16 @@
 	return nil
 }
 
-// Close writes the last totals; it returns an error if the table did not take them before ctx ended.
+// Close writes the last totals, and those of peers that are out of reach. It returns an error if the table did not take
+// them before ctx ended.
 func (r *Recorder) Close(ctx context.Context) error {
 	r.done.Wait()
-	for {
-		if r.storeOwn(ctx, true) {
-			return nil
-		}
+	for !r.flush(ctx) {
 		select {
 		case <-r.clock.After(resendAfter):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
+	return nil
 }
--- /dev/null
+++ b/entry/billing/recorder_test.go
@@ -0,0 +1,282 @@
+package billing
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/shared/tabletest"
+	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+)
+
+var workspaces = []wire.WorkspaceName{"bluegum", "lustre"}
+
+// settleRounds is how often everything due is done until a fleet is settled.
+const settleRounds = 8
+
+// life holds a fleet against what was recorded and answered in all its incarnations.
+type life struct {
+	*fleet
+	all     []*recording
+	settled bool
+	faulty  bool
+}
+
+func newLife(names ...wire.InstanceName) *life {
+	l := &life{fleet: newFleet(names...), settled: true}
+	for _, name := range names {
+		l.all = append(l.all, l.members[name])
+	}
+	return l
+}
+
+// check demands that no figure exceeds what was recorded, and that none is lost whose answer may have ended.
+func (l *life) check(t *rapid.T) {
+	for _, m := range l.all {
+		table, err := l.stored(m.hello.Incarnation)
+		if err != nil {
+			t.Fatal(err)
+		}
+		copies := append(l.copies(m.hello.Incarnation), table)
+		for _, workspace := range workspaces {
+			most := 0
+			for _, totals := range copies {
+				most = max(most, requests(totals, workspace))
+			}
+			if answered := m.answered()[workspace]; most < answered {
+				t.Fatalf("%s: %d answered requests of %s, %d are kept anywhere", m.hello.Incarnation, answered, workspace, most)
+			}
+			if recorded := m.recorded(workspace); most > recorded {
+				t.Fatalf("%s: %d recorded requests of %s, %d are billed", m.hello.Incarnation, recorded, workspace, most)
+			}
+		}
+	}
+}
+
+func (m *recording) recorded(workspace wire.WorkspaceName) int {
+	if len(m.ends) == 0 {
+		return 0
+	}
+	return m.ends[len(m.ends)-1][workspace]
+}
+
+// settle links everyone and does everything due until nothing changes, then demands that one kill can lose nothing.
+func (l *life) settle(t *rapid.T) {
+	clear(l.unlinks)
+	for _, name := range l.names {
+		if l.members[name] == nil {
+			l.restart(name)
+		}
+	}
+	for range settleRounds {
+		l.clock.Advance(rescueAfter)
+		for _, name := range l.names {
+			l.members[name].recorder.sendToPeer()
+			l.members[name].recorder.rescue(context.Background(), rescueAfter)
+		}
+		for len(l.posts) > 0 {
+			if err := l.deliver(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	l.checkSettled(t)
+	l.settled = l.tableHas(t)
+}
+
+// checkSettled demands that what runs is kept twice or in the table.
+func (l *life) checkSettled(t *rapid.T) {
+	for _, name := range l.names {
+		m := l.members[name]
+		table, _ := l.stored(m.hello.Incarnation)
+		for _, workspace := range workspaces {
+			kept := 0
+			for _, totals := range l.copies(m.hello.Incarnation) {
+				if requests(totals, workspace) == m.recorded(workspace) {
+					kept++
+				}
+			}
+			if kept < 2 && requests(table, workspace) < m.recorded(workspace) {
+				t.Fatalf("%s: after settling, %d memories and not the table have all %d requests of %s", m.hello.Incarnation, kept, m.recorded(workspace), workspace)
+			}
+		}
+	}
+}
+
+// tableHas tells whether the table has what dead incarnations left behind: until then another kill is a second one.
+func (l *life) tableHas(t *rapid.T) bool {
+	for _, m := range l.all {
+		table, err := l.stored(m.hello.Incarnation)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, workspace := range workspaces {
+			if l.members[m.hello.Instance] != m && requests(table, workspace) < m.answered()[workspace] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (l *life) restart(name wire.InstanceName) {
+	l.all = append(l.all, l.start(name))
+}
+
+// TestOneKillLosesNoAnsweredRequest runs recorders of one domain with a table that fails, links that break, messages that
+// cross, and one kill at a time. Nothing recorded is billed twice, and nothing is lost whose answer may have ended.
+func TestOneKillLosesNoAnsweredRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLife([]wire.InstanceName{"a", "b", "c"}[:rapid.IntRange(2, 3).Draw(t, "entries")]...)
+		l.table.Fault = func() tabletest.Fault {
+			if !l.faulty {
+				return tabletest.None
+			}
+			return rapid.SampledFrom([]tabletest.Fault{tabletest.Refused, tabletest.Lost, tabletest.Late, tabletest.None}).Draw(t, "fault")
+		}
+		any := func() *recording { return l.members[rapid.SampledFrom(l.names).Draw(t, "entry")] }
+		background := context.Background()
+		t.Repeat(map[string]func(*rapid.T){
+			"": l.check,
+			"record": func(t *rapid.T) {
+				if m := any(); m != nil {
+					m.record(rapid.SampledFrom(workspaces).Draw(t, "workspace"))
+				}
+			},
+			"send": func(*rapid.T) {
+				if m := any(); m != nil {
+					m.recorder.sendToPeer()
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(l.posts) > 0 {
+					if err := l.deliver(rapid.IntRange(0, len(l.posts)-1).Draw(t, "post")); err != nil {
+						t.Fatal(err)
+					}
+				}
+			},
+			"store": func(*rapid.T) {
+				if m := any(); m != nil {
+					m.recorder.storeOwn(background, false)
+				}
+			},
+			"rescue": func(t *rapid.T) {
+				l.clock.Advance(time.Duration(rapid.IntRange(0, 2).Draw(t, "seconds")) * time.Second)
+				if m := any(); m != nil {
+					m.recorder.rescue(background, rescueAfter)
+				}
+			},
+			"late":  func(*rapid.T) { l.table.DeliverLate() },
+			"fault": func(t *rapid.T) { l.faulty = rapid.Bool().Draw(t, "faulty") },
+			"link": func(t *rapid.T) {
+				pair := [2]wire.InstanceName{l.names[0], l.names[len(l.names)-1]}
+				l.unlinks[pair] = rapid.Bool().Draw(t, "unlinked")
+			},
+			"settle": l.settle,
+			"kill": func(t *rapid.T) {
+				name := rapid.SampledFrom(l.names).Draw(t, "victim")
+				if !l.settled {
+					return
+				}
+				l.settled = false
+				l.members[name] = nil
+				if rapid.Bool().Draw(t, "at once") {
+					l.restart(name)
+				}
+			},
+		})
+	})
+}
+
+// TestRestartedPeerGetsEverythingAgain is the case by hand: the peer that held the totals starts anew, and then their owner
+// is killed with the table out of reach.
+func TestRestartedPeerGetsEverythingAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLife("a", "b")
+		l.table.Fault = func() tabletest.Fault { return tabletest.Refused }
+		l.members["a"].record("bluegum")
+		l.settle(t)
+		l.restart("b")
+		l.members["a"].record("lustre")
+		l.settle(t)
+		l.members["a"] = nil
+		l.check(t)
+	})
+}
+
+// TestLateConfirmationOfADeadPeer delivers a confirmation after its sender was replaced and the replacement chosen.
+func TestLateConfirmationOfADeadPeer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLife("a", "b")
+		l.table.Fault = func() tabletest.Fault { return tabletest.Refused }
+		a := l.members["a"]
+		a.record("bluegum")
+		a.recorder.sendToPeer()
+		if err := l.deliver(0); err != nil {
+			t.Fatal(err)
+		}
+		confirmation := l.posts
+		l.posts = nil
+		l.restart("b")
+		a.recorder.sendToPeer()
+		l.posts = confirmation
+		if err := l.deliver(0); err != nil {
+			t.Fatal(err)
+		}
+		l.settle(t)
+	})
+}
+
+// TestCloseWritesWhatEndsLate ends a request while the last totals are being written.
+func TestCloseWritesWhatEndsLate(t *testing.T) {
+	f := newFleet("a")
+	m := f.members["a"]
+	m.record("bluegum")
+	late := false
+	f.table.Delay = func() {
+		if !late {
+			late = true
+			m.record("lustre")
+		}
+	}
+	if err := m.recorder.Close(closing(t, f.clock)); err != nil {
+		t.Fatal(err)
+	}
+	table, err := f.stored(m.hello.Incarnation)
+	if err != nil || requests(table, "bluegum") != 1 || requests(table, "lustre") != 1 {
+		t.Errorf("the table has %+v, %v", table, err)
+	}
+}
+
+// TestCloseWritesADeadPeersTotals stops the only holder of a killed peer's totals before the peer counts as gone.
+func TestCloseWritesADeadPeersTotals(t *testing.T) {
+	f := newFleet("a", "b")
+	a := f.members["a"]
+	a.record("bluegum")
+	a.recorder.sendToPeer()
+	if err := f.deliver(0); err != nil {
+		t.Fatal(err)
+	}
+	f.members["a"] = nil
+	if err := f.members["b"].recorder.Close(closing(t, f.clock)); err != nil {
+		t.Fatal(err)
+	}
+	table, err := f.stored(a.hello.Incarnation)
+	if err != nil || requests(table, "bluegum") != 1 {
+		t.Errorf("the table has %+v, %v", table, err)
+	}
+}
+
+// closing bounds a close and moves the clock on whenever it waits.
+func closing(t *testing.T, clock *clockwork.FakeClock) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	t.Cleanup(cancel)
+	go func() {
+		for clock.BlockUntilContext(ctx, 1) == nil {
+			clock.Advance(resendAfter)
+		}
+	}()
+	return ctx
+}
--- a/entry/billing/rows.go
+++ b/entry/billing/rows.go
@@ -82,60 +82,66 @@
 	r.stored = totals.Sequence
 	r.mu.Unlock()
 	r.secured(totals.Sequence)
-	_ = channel.Send(r.hub, "", TopicStored, wire.UsageStored{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
+	_ = channel.Send(r.links, "", TopicStored, wire.UsageStored{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
 	return true
 }
 
-// rescue writes the totals of peers that have been out of reach for a while.
-func (r *Recorder) rescue(ctx context.Context) {
-	linked := map[wire.InstanceName]bool{}
-	for _, hello := range r.hub.Links() {
-		linked[hello.Instance] = true
+// flush writes this incarnation's totals for the last time and all that is held for peers out of reach. It tells whether
+// nothing is left: a request that ended meanwhile raised the totals again.
+func (r *Recorder) flush(ctx context.Context) bool {
+	own := r.storeOwn(ctx, true)
+	rescued := r.rescue(ctx, 0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return own && rescued && r.stored == r.meter.Sequence()
+}
+
+// rescue writes the totals of peers that have been out of reach for that long, and tells whether the table took them.
+func (r *Recorder) rescue(ctx context.Context, absence time.Duration) bool {
+	linked := map[wire.InstanceName]wire.IncarnationId{}
+	for _, hello := range r.links.Links() {
+		linked[hello.Instance] = hello.Incarnation
 	}
+	written := true
 	for _, name := range r.held.Instances() {
-		if linked[name] {
+		incarnation, present := linked[name]
+		if present {
 			delete(r.absent, name)
-			r.rescueOld(ctx, name)
+			written = r.rescueBut(ctx, name, incarnation) && written
 			continue
 		}
 		if _, noted := r.absent[name]; !noted {
 			r.absent[name] = r.clock.Now()
 		}
-		if r.clock.Since(r.absent[name]) >= rescueAfter {
-			r.rescueAll(ctx, name)
-		}
-	}
-}
-
-// rescueOld writes totals of incarnations before a linked peer's present one.
-func (r *Recorder) rescueOld(ctx context.Context, name wire.InstanceName) {
-	for _, hello := range r.hub.Links() {
-		if hello.Instance != name {
-			continue
-		}
-		for _, totals := range r.held.Of(name) {
-			if totals.Incarnation != hello.Incarnation {
-				r.rescueOne(ctx, name, totals)
-			}
+		if r.clock.Since(r.absent[name]) >= absence {
+			written = r.rescueBut(ctx, name, "") && written
 		}
 	}
+	return written
 }
 
-func (r *Recorder) rescueAll(ctx context.Context, name wire.InstanceName) {
+// rescueBut writes the totals of a peer's incarnations, but for the one that still runs.
+func (r *Recorder) rescueBut(ctx context.Context, name wire.InstanceName, running wire.IncarnationId) bool {
+	written := true
 	for _, totals := range r.held.Of(name) {
-		r.rescueOne(ctx, name, totals)
+		if totals.Incarnation != running {
+			written = r.rescueOne(ctx, name, totals) && written
+		}
 	}
+	return written
 }
 
-func (r *Recorder) rescueOne(ctx context.Context, name wire.InstanceName, totals wire.UsageTotals) {
+func (r *Recorder) rescueOne(ctx context.Context, name wire.InstanceName, totals wire.UsageTotals) bool {
 	ctx, cancel := context.WithTimeout(ctx, rescueWithin)
 	defer cancel()
 	ok, err := r.store.write(ctx, name, totals, false)
 	if err != nil || !ok {
-		return
+		r.logger.Warn().Err(err).Str("Peer", string(name)).Str("Incarnation", string(totals.Incarnation)).Msg("a peer's usage is not in the table yet")
+		return false
 	}
 	r.held.Stored(totals.Incarnation, totals.Sequence)
 	r.logger.Info().Str("Peer", string(name)).Str("Incarnation", string(totals.Incarnation)).Int("Sequence", totals.Sequence).Msg("wrote a peer's usage")
+	return true
 }
 
 // rescueWithin bounds one write for a peer.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -30,8 +30,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// flushWithin bounds the last write of usage at a stop.
-const flushWithin = 30 * time.Second
+// Bounds of a stop.
+const (
+	// flushWithin bounds the last write of usage.
+	flushWithin = 30 * time.Second
+	// cutWithin bounds the wait for requests whose connections were closed at the deadline.
+	cutWithin = 2 * time.Second
+	cutPoll   = 10 * time.Millisecond
+)
 
 // program is a running entry.
 type program struct {
@@ -57,6 +63,7 @@
 	}
 	defer p.hub.Close()
 	err = p.listen(ctx, background)
+	p.awaitCut(clockwork.NewRealClock())
 	stop()
 	p.services.Wait()
 	flush, cancel := context.WithTimeout(process.Hard(ctx), flushWithin)
@@ -100,7 +107,7 @@
 	})
 	follow.Route(router)
 	control.Route(router)
-	p.recorder.Route(router)
+	p.recorder.Route(router, p.hub)
 	go func() {
 		if err := router.Run(background); err != nil {
 			logger.Error().Err(err).Msg("router ended")
@@ -216,6 +223,20 @@
 	return p.cutError(group.Wait())
 }
 
+// awaitCut lets requests whose connections were closed end, so that what they delivered is billed with the last totals.
+func (p *program) awaitCut(clock clockwork.Clock) {
+	deadline := clock.After(cutWithin)
+	ticker := clock.NewTicker(cutPoll)
+	defer ticker.Stop()
+	for p.gate.Inside() > 0 {
+		select {
+		case <-ticker.Chan():
+		case <-deadline:
+			return
+		}
+	}
+}
+
 // cutError says what a shutdown ended before it was done.
 func (p *program) cutError(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
--- a/shared/usage/merge.go
+++ b/shared/usage/merge.go
@@ -13,9 +13,7 @@
 	larger := map[cell]wire.UsageFigure{}
 	for _, f := range slices.Concat(a.Figures, b.Figures) {
 		at := cell{workspace: f.Workspace, model: f.Model}
-		if old, known := larger[at]; !known || old.Requests < f.Requests {
-			larger[at] = f
-		}
+		larger[at] = largest(larger[at], f)
 	}
 	merged := wire.UsageTotals{Incarnation: a.Incarnation, Sequence: max(a.Sequence, b.Sequence)}
 	if merged.Incarnation == "" {
@@ -28,6 +26,15 @@
 	return merged
 }
 
+// largest takes each counter's larger value: they only rise.
+func largest(a, b wire.UsageFigure) wire.UsageFigure {
+	b.Requests = max(a.Requests, b.Requests)
+	b.PromptTokens = max(a.PromptTokens, b.PromptTokens)
+	b.OutputTokens = max(a.OutputTokens, b.OutputTokens)
+	b.Cost = max(a.Cost, b.Cost)
+	return b
+}
+
 // SortFigures orders figures by workspace and model.
 func SortFigures(figures []wire.UsageFigure) {
 	slices.SortFunc(figures, func(a, b wire.UsageFigure) int {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1116,6 +1116,9 @@
 
 // UsageHeld confirms that a peer holds an incarnation's totals.
 type UsageHeld struct {
+	// Holder corresponds to the JSON schema field "Holder".
+	Holder IncarnationId `json:"Holder"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation IncarnationId `json:"Incarnation"`
 
