Bound what peers out of reach cost a forwarded request

Cause: Forward tried each peer of another failure domain with a dial of 2 s, in a random order, for every request anew: eight peers in a black hole cost each request 16 s by the old bounds. Now a dial to a peer ends after 500 ms, one request loses at most a second to such peers, a peer that failed is left alone for 2 s, and peers with a control link come first, for a link ends within its heartbeat's bound.

Ruled out: going on to another peer after a lost answer.

--- a/entry/peer/forwarder.go
+++ b/entry/peer/forwarder.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"cowslipshunt.example/entry/visit"
@@ -13,6 +15,7 @@
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
 )
 
 // PathForward is where an entry takes requests that a peer let in; the caller's path follows.
@@ -23,7 +26,20 @@
 	retryAfter = 2 * time.Second
 )
 
-var forwarded = metrics.NewCounter("entry_forwarded_total")
+// Bounds of finding a peer that takes a request.
+const (
+	// dialWithin bounds one connection to a peer.
+	dialWithin = 500 * time.Millisecond
+	// searchWithin bounds the time that one request loses to peers out of reach.
+	searchWithin = time.Second
+	// restAfterFailure is how long a peer that failed is left alone.
+	restAfterFailure = 2 * time.Second
+)
+
+var (
+	forwarded     = metrics.NewCounter("entry_forwarded_total")
+	forwardFailed = metrics.NewCounter("entry_forward_failed_total")
+)
 
 // Address is a peer as the settings name it.
 type Address struct {
@@ -33,16 +49,30 @@
 	Address string
 }
 
+// Links are the control links to peers.
+type Links interface {
+	// Links returns the peers that are linked now.
+	Links() []wire.Hello
+}
+
 // Forwarder passes requests on to entries of other failure domains.
 type Forwarder struct {
 	self      wire.Hello
 	peers     []Address
+	links     Links
 	transport http.RoundTripper
+	clock     clockwork.Clock
+
+	mu sync.Mutex
+	// rests holds until when a peer that failed is left alone.
+	rests map[wire.InstanceName]time.Time
 }
 
 // NewForwarder returns a forwarder to those peers that are in another failure domain.
-func NewForwarder(self wire.Hello, peers []Address, answerWithin time.Duration) *Forwarder {
-	f := &Forwarder{self: self, transport: caller.NewOnceTransport(answerWithin)}
+func NewForwarder(self wire.Hello, peers []Address, links Links, clock clockwork.Clock, answerWithin time.Duration) *Forwarder {
+	transport := caller.NewOnceTransport(answerWithin)
+	transport.DialContext = (&net.Dialer{Timeout: dialWithin}).DialContext
+	f := &Forwarder{self: self, links: links, transport: transport, clock: clock, rests: map[wire.InstanceName]time.Time{}}
 	for _, p := range peers {
 		if p.Domain != self.Domain {
 			f.peers = append(f.peers, p)
@@ -51,17 +81,28 @@
 	return f
 }
 
-// Forward tries peers in a random order until one takes the request. It goes on to the next only while nothing can have
-// run.
+// Forward tries peers until one takes the request. It goes on to the next only while nothing can have run, and gives up
+// when peers out of reach have cost the request too much time.
 func (f *Forwarder) Forward(w http.ResponseWriter, r *http.Request, v *visit.Visit, body []byte) *problem.Problem {
-	last := problem.New(http.StatusServiceUnavailable, problem.NotRun, "no failure domain in reach serves this").After(retryAfter)
-	for _, i := range rand.Perm(len(f.peers)) {
-		answer, err := f.send(r, v, body, f.peers[i])
+	var lost time.Duration
+	for _, to := range f.order() {
+		if lost >= searchWithin {
+			break
+		}
+		if f.resting(to) {
+			continue
+		}
+		began := f.clock.Now()
+		answer, err := f.send(r, v, body, to)
+		if err != nil && r.Context().Err() == nil {
+			f.rest(to)
+		}
 		if err != nil && caller.NeverSent(err) {
+			lost += f.clock.Since(began)
 			continue
 		}
 		if err != nil {
-			v.Log.Warn().Err(err).Str("Peer", string(f.peers[i].Instance)).Msg("forwarding failed")
+			v.Log.Warn().Err(err).Str("Peer", string(to.Instance)).Msg("forwarding failed")
 			return problem.New(http.StatusBadGateway, problem.Unknown, "the answer from another failure domain was lost")
 		}
 		if refusedUnrun(answer) {
@@ -72,7 +113,39 @@
 		f.copy(w, answer)
 		return nil
 	}
-	return last
+	return problem.New(http.StatusServiceUnavailable, problem.NotRun, "no failure domain in reach serves this").After(retryAfter)
+}
+
+// order returns the peers in a random order, those with a control link first: a link ends soon after its peer is out of
+// reach.
+func (f *Forwarder) order() []Address {
+	linked := map[wire.InstanceName]bool{}
+	for _, hello := range f.links.Links() {
+		linked[hello.Instance] = true
+	}
+	var first, last []Address
+	for _, i := range rand.Perm(len(f.peers)) {
+		if linked[f.peers[i].Instance] {
+			first = append(first, f.peers[i])
+			continue
+		}
+		last = append(last, f.peers[i])
+	}
+	return append(first, last...)
+}
+
+// rest leaves a peer alone for a while.
+func (f *Forwarder) rest(peer Address) {
+	forwardFailed.Inc()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rests[peer.Instance] = f.clock.Now().Add(restAfterFailure)
+}
+
+func (f *Forwarder) resting(peer Address) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Now().Before(f.rests[peer.Instance])
 }
 
 func refusedUnrun(answer *http.Response) bool {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -97,7 +97,7 @@
 	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
 	p.gate = visit.NewGate(p.current, follow, cfg.MaxRequests, logger)
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, follow, clock, logger)
-	forwarder := peer.NewForwarder(self, p.peers(), millis(cfg.StallMillis))
+	forwarder := peer.NewForwarder(self, p.peers(), p.hub, clock, millis(cfg.StallMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
 	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
 	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
