Measure the queue and the choice of endpoint on fakes in virtual time

Cause: nothing measured how entries queue and place requests. `make policy` now drives shared/queue and endpoint.Choose on small fakes of engines (steps of prefill and decode, batches, prefix caches in pieces) over five traces, with baselines beside what entries do. The queue can be joined and left without a goroutine; Acquire stands on the same code.

Ruled out: that the order of the queue decides. Under the greedy load requests wait inside the engines, behind other prompts' prefill, where the entry's order has no effect: slots are counted in requests, not in work.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 SHELL := /bin/bash
-MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof
+MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof policy
 PACKAGES := $(MODULES:%=./%/...)
 BIN := bin
 PROGRAMS := entry controller cowslipshunt standin/platform standin/engine standin/service
@@ -10,7 +10,7 @@
 CHECKS := 100
 SEED := 1
 
-.PHONY: build format tidy lint test demo bench generate clean
+.PHONY: build format tidy lint test policy demo bench generate clean
 
 build:
 	@mkdir -p $(BIN)
@@ -34,6 +34,10 @@
 	@if [ -n "$(FUZZED)" ]; then \
 		go test -race -count=1 $(FUZZED) -args -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -rapid.nofailfile; fi
 
+# Measures of the queue and the choice of endpoint; not part of `make test`.
+policy:
+	@go run ./policy $(POLICY)
+
 demo: build
 	scripts/demo.sh
 
--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -219,7 +219,8 @@
 	if x.attempt > 0 {
 		estimate = 0
 	}
-	return s.queues.Get(string(model.Name)).Acquire(ctx, v.Workspace.Name, v.Workspace.Weight, queue.Service(estimate), func() *endpoint.Endpoint {
+	request := queue.Request{Workspace: v.Workspace.Name, Weight: v.Workspace.Weight, Estimate: queue.Service(estimate)}
+	request.Choose = func() *endpoint.Endpoint {
 		list := s.directory.View().Model(model.Name)
 		now := s.clock.Now()
 		if e := endpoint.Choose(list, endpoint.Need{Not: failed}, now, random); e != nil {
@@ -229,7 +230,8 @@
 			return nil
 		}
 		return endpoint.Choose(list, endpoint.Need{}, now, random)
-	})
+	}
+	return s.queues.Get(string(model.Name)).Acquire(ctx, request)
 }
 
 // failed judges a failed attempt: it returns nil if another one may follow.
--- a/entry/service/send.go
+++ b/entry/service/send.go
@@ -88,7 +88,8 @@
 	ctx, cancel := context.WithTimeout(c.ctx, s.limits.Queue)
 	defer cancel()
 	w := c.visit.Workspace
-	return s.queue(c).Acquire(ctx, w.Name, w.Weight, oneRequest, func() *endpoint.Endpoint {
+	request := queue.Request{Workspace: w.Name, Weight: w.Weight, Estimate: oneRequest}
+	request.Choose = func() *endpoint.Endpoint {
 		list := s.directory.View().Service(c.service)
 		need := c.need()
 		need.Not = failed
@@ -96,7 +97,8 @@
 			return e
 		}
 		return endpoint.Choose(list, c.need(), s.clock.Now(), random)
-	})
+	}
+	return s.queue(c).Acquire(ctx, request)
 }
 
 func (s *Server) queue(c *call) *queue.Queue {
--- a/shared/queue/fair.go
+++ b/shared/queue/fair.go
@@ -38,18 +38,18 @@
 	return fl
 }
 
-func (f *fair) push(r *request) {
-	fl := f.flow(r.workspace)
-	fl.weight = max(float64(r.weight), 1)
+func (f *fair) push(t *Ticket) {
+	fl := f.flow(t.request.Workspace)
+	fl.weight = max(float64(t.request.Weight), 1)
 	if fl.waiting.Len() == 0 {
 		fl.served = max(fl.served, f.floor)
 	}
-	r.place = fl.waiting.PushBack(r)
+	t.place = fl.waiting.PushBack(t)
 	f.total++
 }
 
 // head returns the next request without removing it, or nil.
-func (f *fair) head() *request {
+func (f *fair) head() *Ticket {
 	var least *flow
 	for _, fl := range f.flows {
 		if fl.waiting.Len() == 0 {
@@ -63,7 +63,7 @@
 		return nil
 	}
 	f.floor = max(f.floor, least.served)
-	return least.waiting.Front().Value.(*request)
+	return least.waiting.Front().Value.(*Ticket)
 }
 
 // before breaks ties by arrival.
@@ -71,12 +71,12 @@
 	if a.served != b.served {
 		return a.served < b.served
 	}
-	return a.waiting.Front().Value.(*request).number < b.waiting.Front().Value.(*request).number
+	return a.waiting.Front().Value.(*Ticket).number < b.waiting.Front().Value.(*Ticket).number
 }
 
-func (f *fair) remove(r *request) {
-	fl := f.flows[r.workspace]
-	fl.waiting.Remove(r.place)
+func (f *fair) remove(t *Ticket) {
+	fl := f.flows[t.request.Workspace]
+	fl.waiting.Remove(t.place)
 	f.total--
 }
 
--- a/shared/queue/queue.go
+++ b/shared/queue/queue.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"container/list"
 	"context"
 	"errors"
 	"sync"
@@ -25,69 +24,84 @@
 // Choose takes a slot for a request, or returns nil if there is none now.
 type Choose func() *endpoint.Endpoint
 
-type request struct {
-	workspace wire.WorkspaceName
-	weight    int
-	estimate  Service
-	number    uint64
-	choose    Choose
-	slot      chan *endpoint.Endpoint
-	place     *list.Element
-}
-
 // Queue hands out the slots of the endpoints that serve one model or service.
 type Queue struct {
 	mu     sync.Mutex
 	fair   *fair
+	bounds Bounds
 	number uint64
 }
 
-// New returns an empty queue.
-func New() *Queue {
-	return &Queue{fair: newFair()}
+// Bounds is how many requests may wait.
+type Bounds struct {
+	Total        int
+	PerWorkspace int
 }
 
-// Acquire waits until the request's turn comes and choose finds a slot. It charges the estimated service at once; Charge
-// corrects it later. It returns ErrFull at the queue's bounds and ctx's error when ctx ends first.
-func (q *Queue) Acquire(ctx context.Context, workspace wire.WorkspaceName, weight int, estimate Service, choose Choose) (*endpoint.Endpoint, error) {
-	q.mu.Lock()
-	if q.fair.total >= maxWaiting || q.fair.waiting(workspace) >= maxWaitingPerWorkspace {
-		q.mu.Unlock()
-		return nil, ErrFull
+// Option changes a queue.
+type Option func(*Queue)
+
+// WithBounds replaces the bounds of waiting requests.
+func WithBounds(b Bounds) Option {
+	return func(q *Queue) {
+		q.bounds = b
+	}
+}
+
+// New returns an empty queue.
+func New(opts ...Option) *Queue {
+	q := &Queue{fair: newFair(), bounds: Bounds{Total: maxWaiting, PerWorkspace: maxWaitingPerWorkspace}}
+	for _, opt := range opts {
+		opt(q)
 	}
-	r := &request{
-		workspace: workspace,
-		weight:    weight,
-		estimate:  estimate,
-		number:    q.number,
-		choose:    choose,
-		slot:      make(chan *endpoint.Endpoint, 1),
+	return q
+}
+
+// Acquire waits until the request's turn comes and its Choose finds a slot. It charges the estimated service at once;
+// Charge corrects it later. It returns ErrFull at the queue's bounds and ctx's error when ctx ends first.
+func (q *Queue) Acquire(ctx context.Context, r Request) (*endpoint.Endpoint, error) {
+	t, err := q.Join(r)
+	if err != nil {
+		return nil, err
 	}
-	q.number++
-	q.fair.push(r)
-	q.serve()
-	q.mu.Unlock()
 	select {
-	case e := <-r.slot:
+	case e := <-t.slot:
 		return e, nil
 	case <-ctx.Done():
-		return q.abandon(ctx, r)
 	}
+	if e := q.Leave(t); e != nil {
+		e.Release()
+		q.Charge(r.Workspace, -r.Estimate)
+		q.Wake()
+	}
+	return nil, context.Cause(ctx)
 }
 
-// abandon takes a request out, unless it got a slot at the same moment.
-func (q *Queue) abandon(ctx context.Context, r *request) (*endpoint.Endpoint, error) {
+// Join lets a request wait without blocking the caller, and serves the queue. Its Choose is called when its turn comes.
+func (q *Queue) Join(r Request) (*Ticket, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.fair.total >= q.bounds.Total || q.fair.waiting(r.Workspace) >= q.bounds.PerWorkspace {
+		return nil, ErrFull
+	}
+	t := &Ticket{request: r, number: q.number, slot: make(chan *endpoint.Endpoint, 1)}
+	q.number++
+	q.fair.push(t)
+	q.serve()
+	return t, nil
+}
+
+// Leave takes a ticket out. If it got a slot before, that is returned and is the caller's to give back.
+func (q *Queue) Leave(t *Ticket) *endpoint.Endpoint {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
-	case e := <-r.slot:
-		e.Release()
-		q.fair.charge(r.workspace, -r.estimate)
-		q.serve()
+	case e := <-t.slot:
+		return e
 	default:
-		q.fair.remove(r)
+		q.fair.remove(t)
+		return nil
 	}
-	return nil, context.Cause(ctx)
 }
 
 // Charge adds service that a workspace received; a negative amount gives back.
@@ -114,16 +128,16 @@
 // serve hands out slots in fair order until one request finds none.
 func (q *Queue) serve() {
 	for {
-		r := q.fair.head()
-		if r == nil {
+		t := q.fair.head()
+		if t == nil {
 			return
 		}
-		e := r.choose()
+		e := t.request.Choose()
 		if e == nil {
 			return
 		}
-		q.fair.remove(r)
-		q.fair.charge(r.workspace, r.estimate)
-		r.slot <- e
+		q.fair.remove(t)
+		q.fair.charge(t.request.Workspace, t.request.Estimate)
+		t.slot <- e
 	}
 }
--- a/shared/queue/queue_test.go
+++ b/shared/queue/queue_test.go
@@ -43,7 +43,7 @@
 		for _, name := range names {
 			for range load[name] {
 				go func() {
-					if e, err := q.Acquire(context.Background(), name, 1, queue.Service(cost), choose); err == nil {
+					if e, err := q.Acquire(context.Background(), queue.Request{Workspace: name, Estimate: queue.Service(cost), Choose: choose}); err == nil {
 						granted <- grant{name, e}
 					}
 				}()
@@ -82,7 +82,7 @@
 	ended := make(chan error)
 	for range 3 {
 		go func() {
-			_, err := q.Acquire(ctx, "w", 1, 1, none)
+			_, err := q.Acquire(ctx, queue.Request{Workspace: "w", Estimate: 1, Choose: none})
 			ended <- err
 		}()
 	}
