Place a prompt where it is thought to be cached, by the least expected work

Cause: two random choices by requests in flight sent a conversation's turns anywhere, so engines prefilled the same histories again and again.

An entry remembers, for each endpoint, the keys of the prompt blocks that it sent there (two generations of 256 keys) and takes the endpoint with the least of: prefill that its own requests wait for, 256 tokens for each request in flight, and what is left of this prompt. Equal ones are ordered by rendezvous, so that entries which know nothing agree. No cache event and no load report is read, so late, lost or lagging ones cannot mislead it. Keys are digests of the text; nothing of a prompt is logged. Of more than 8 suited endpoints the first 2 by rendezvous and 6 random ones are compared.

Also: the metric of the first token was taken at the answer's end; a model without prices made the queue first in first out; answers log why they were placed and how long they were queued, and placements and refusals are counted.

Ruled out: naming pieces as engines do, because that needs their tokeniser.

--- a/entry/answer/exchange.go
+++ b/entry/answer/exchange.go
@@ -41,6 +41,13 @@
 	query     *request
 	header    http.Header
 	sink      sink
+	prompt    endpoint.Prompt
+
+	// queued is the time in queues, and placement why the newest engine was chosen.
+	queued    time.Duration
+	placement endpoint.Reason
+	// firstAt is when the first engine sent its first event.
+	firstAt time.Time
 
 	attempt   int
 	delivered []string
@@ -74,13 +81,13 @@
 var errStalled = errors.New("the engine sent nothing in time")
 
 // try sends the request to one engine and passes its tokens on. It returns nil once the answer is whole.
-func (x *exchange) try(ctx context.Context, transport http.RoundTripper, e *endpoint.Endpoint, clock clockwork.Clock, stall time.Duration) *attemptError {
+func (x *exchange) try(ctx context.Context, transport http.RoundTripper, slot *endpoint.Slot, clock clockwork.Clock, stall time.Duration) *attemptError {
 	x.attempt++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := clock.AfterFunc(stall, func() { cancel(errStalled) })
 	defer watchdog.Stop()
-	answer, failed := x.send(ctx, transport, e)
+	answer, failed := x.send(ctx, transport, slot.Endpoint)
 	if failed != nil {
 		return failed
 	}
@@ -90,6 +97,7 @@
 			return &attemptError{Err: errors.Join(err, context.Cause(ctx))}
 		}
 		watchdog.Reset(stall)
+		x.noteStart(slot, clock.Now())
 		last, failed := x.take(event)
 		if failed != nil || last {
 			return failed
--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -21,11 +21,10 @@
 
 // Bounds of one request.
 const (
-	maxAttempts   = 4
-	maxBody       = 8 << 20
-	pauseAtMost   = 50 * time.Millisecond
-	retryAfter    = 2 * time.Second
-	tokensInPrice = 1000
+	maxAttempts = 4
+	maxBody     = 8 << 20
+	pauseAtMost = 50 * time.Millisecond
+	retryAfter  = 2 * time.Second
 )
 
 // Bounds of all retries of one entry.
@@ -176,7 +175,7 @@
 	header := caller.CleanHeader(r.Header, v.Key)
 	header.Del("Content-Length")
 	header.Del("Accept-Encoding")
-	x := &exchange{request: v.Request, workspace: v.Workspace.Name, query: q, header: header}
+	x := &exchange{request: v.Request, workspace: v.Workspace.Name, query: q, header: header, prompt: q.prompt()}
 	id := newIdentity(v.Request, q.chat, s.clock.Now(), q.fields.Model)
 	control := http.NewResponseController(w)
 	if q.fields.Stream {
@@ -192,58 +191,35 @@
 	started := s.clock.Now()
 	var failed []wire.EndpointId
 	for {
-		e, err := s.slot(ctx, v, model, x, failed)
+		slot, err := s.slot(ctx, v, model, x, failed)
 		if err != nil {
 			return s.give(ctx, v, model, x, s.queueRefusal(x, err))
 		}
-		result := x.try(ctx, s.engines, e, s.clock, s.limits.Stall)
-		e.Release()
+		result := x.try(ctx, s.engines, slot, s.clock, s.limits.Stall)
+		slot.Release()
 		s.queues.Get(string(model.Name)).Wake()
 		if result == nil {
-			e.Worked()
-			firstToken.Update(s.clock.Since(started).Seconds())
+			slot.Worked()
+			firstToken.Update(x.firstAt.Sub(started).Seconds())
 			return s.finish(ctx, v, model, x)
 		}
-		if stop := s.failed(ctx, v, x, e, result); stop != nil {
+		if stop := s.failed(ctx, v, x, slot, result); stop != nil {
 			return s.give(ctx, v, model, x, stop)
 		}
-		failed = append(failed, e.State().Endpoint)
+		failed = append(failed, slot.State().Endpoint)
 	}
 }
 
-// slot waits for a slot at an engine, one that has not failed this request if there is any.
-func (s *Server) slot(ctx context.Context, v *visit.Visit, model document.Model, x *exchange, failed []wire.EndpointId) (*endpoint.Endpoint, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.limits.Queue)
-	defer cancel()
-	estimate := cost(model, x.query.estimate(), x.query.maxOutput())
-	if x.attempt > 0 {
-		estimate = 0
-	}
-	request := queue.Request{Workspace: v.Workspace.Name, Weight: v.Workspace.Weight, Estimate: queue.Service(estimate)}
-	request.Choose = func() *endpoint.Endpoint {
-		list := s.directory.View().Model(model.Name)
-		now := s.clock.Now()
-		if e := endpoint.Choose(list, endpoint.Need{Not: failed}, now, random); e != nil {
-			return e
-		}
-		if len(failed) == 0 {
-			return nil
-		}
-		return endpoint.Choose(list, endpoint.Need{}, now, random)
-	}
-	return s.queues.Get(string(model.Name)).Acquire(ctx, request)
-}
-
 // failed judges a failed attempt: it returns nil if another one may follow.
-func (s *Server) failed(ctx context.Context, v *visit.Visit, x *exchange, e *endpoint.Endpoint, result *attemptError) *problem.Problem {
-	v.Log.Warn().Err(result).Str("Endpoint", string(e.State().Endpoint)).Int("Attempt", x.attempt).Int("Delivered", len(x.delivered)).Msg("attempt failed")
+func (s *Server) failed(ctx context.Context, v *visit.Visit, x *exchange, slot *endpoint.Slot, result *attemptError) *problem.Problem {
+	v.Log.Warn().Err(result).Str("Endpoint", string(slot.State().Endpoint)).Int("Attempt", x.attempt).Int("Delivered", len(x.delivered)).Msg("attempt failed")
 	if result.Refusal != nil {
 		return result.Refusal
 	}
 	if result.Caller || ctx.Err() != nil {
 		return x.refusal(http.StatusGatewayTimeout, "the request ended: %v", context.Cause(ctx))
 	}
-	e.Failed(s.clock.Now())
+	slot.Failed(s.clock.Now())
 	if x.attempt >= maxAttempts {
 		return x.refusal(http.StatusBadGateway, "%d attempts failed", x.attempt)
 	}
@@ -256,13 +232,6 @@
 	return nil
 }
 
-func (s *Server) queueRefusal(x *exchange, err error) *problem.Problem {
-	if errors.Is(err, queue.ErrFull) {
-		return x.refusal(http.StatusTooManyRequests, "%v", err)
-	}
-	return x.refusal(http.StatusServiceUnavailable, "no engine was free in time")
-}
-
 // refusal says truly whether an engine may have run the request.
 func (x *exchange) refusal(status int, format string, args ...any) *problem.Problem {
 	outcome := problem.NotRun
@@ -282,7 +251,8 @@
 	}
 	answersWhole.Inc()
 	v.Log.Info().Str("Workspace", string(v.Workspace.Name)).Str("Model", string(model.Name)).Int("Attempts", x.attempt).
-		Int("PromptTokens", int(x.usage.Prompt)).Int("OutputTokens", int(x.usage.Completion)).Msg("answered")
+		Int("PromptTokens", int(x.usage.Prompt)).Int("OutputTokens", int(x.usage.Completion)).
+		Str("Placement", string(x.placement)).Dur("Queued", x.queued).Msg("answered")
 	return nil
 }
 
@@ -307,25 +277,18 @@
 }
 
 func (s *Server) bill(ctx context.Context, v *visit.Visit, model document.Model, x *exchange) {
-	charged := cost(model, x.usage.Prompt, x.usage.Completion)
-	guessed := cost(model, x.query.estimate(), x.query.maxOutput())
-	s.queues.Get(string(model.Name)).Charge(v.Workspace.Name, queue.Service(charged-guessed))
+	received := service(model, x.usage.Prompt, x.usage.Completion)
+	s.queues.Get(string(model.Name)).Charge(v.Workspace.Name, received-x.guessed(model))
 	s.recorder.Record(ctx, wire.UsageFigure{
 		Workspace:    v.Workspace.Name,
 		Model:        model.Name,
 		Requests:     1,
 		PromptTokens: x.usage.Prompt,
 		OutputTokens: x.usage.Completion,
-		Cost:         charged,
+		Cost:         cost(model, x.usage.Prompt, x.usage.Completion),
 	})
 }
 
-// cost prices tokens, rounded up to a whole unit.
-func cost(m document.Model, prompt, output wire.TokenCount) wire.CostMicros {
-	total := int(prompt)*int(m.PromptPrice) + int(output)*int(m.OutputPrice)
-	return wire.CostMicros((total + tokensInPrice - 1) / tokensInPrice)
-}
-
 func (s *Server) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-s.clock.After(d):
--- a/entry/service/send.go
+++ b/entry/service/send.go
@@ -22,7 +22,7 @@
 
 // send passes the request to an endpoint and returns its answer with the slot still taken. A request that may not be
 // repeated is sent again only if no byte of it left, or if the endpoint says that it ran nothing.
-func (s *Server) send(c *call) (*http.Response, *endpoint.Endpoint, *problem.Problem) {
+func (s *Server) send(c *call) (*http.Response, *endpoint.Slot, *problem.Problem) {
 	reached := false
 	var failed []wire.EndpointId
 	for attempt := 1; ; attempt++ {
@@ -84,12 +84,12 @@
 	return problem.New(status, outcomeOf(reached), "no endpoint was free in time").After(retryAfter)
 }
 
-func (s *Server) slot(c *call, failed []wire.EndpointId) (*endpoint.Endpoint, error) {
+func (s *Server) slot(c *call, failed []wire.EndpointId) (*endpoint.Slot, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, s.limits.Queue)
 	defer cancel()
 	w := c.visit.Workspace
 	request := queue.Request{Workspace: w.Name, Weight: w.Weight, Estimate: oneRequest}
-	request.Choose = func() *endpoint.Endpoint {
+	request.Choose = func() *endpoint.Slot {
 		list := s.directory.View().Service(c.service)
 		need := c.need()
 		need.Not = failed
@@ -109,7 +109,7 @@
 	s.queue(c).Wake()
 }
 
-func (s *Server) sendTo(c *call, e *endpoint.Endpoint) (*http.Response, error) {
+func (s *Server) sendTo(c *call, e *endpoint.Slot) (*http.Response, error) {
 	target := url.URL{Scheme: "http", Host: e.State().Address, Path: c.path, RawQuery: caller.CleanQuery(c.r.URL.RawQuery, c.visit.Key)}
 	r, err := http.NewRequestWithContext(c.ctx, c.r.Method, target.String(), nil)
 	if err != nil {
--- a/policy/entry.go
+++ b/policy/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipshunt.example/shared/endpoint"
+	"cowslipshunt.example/shared/piece"
 	"cowslipshunt.example/shared/queue"
 	"cowslipshunt.example/wire"
 )
@@ -18,12 +19,14 @@
 	maxAttempts  = 4
 	maxInQueue   = 4096
 	outputBudget = 512
+	keyTokens    = 256 // what a block of the entry's keys holds
 )
 
 // request is one turn on its way.
 type request struct {
 	conversation *conversation
 	pieces       []pieceID
+	known        endpoint.Prompt
 	prompt       int
 	output       int
 	began        time.Time
@@ -37,7 +40,12 @@
 }
 
 func newRequest(c *conversation, output int, now time.Time) *request {
-	return &request{conversation: c, pieces: c.pieces(pieceTokens), prompt: c.prompt, output: output, began: now}
+	r := &request{conversation: c, pieces: c.pieces(pieceTokens), prompt: c.prompt, output: output, began: now}
+	r.known = endpoint.Prompt{Tokens: r.prompt, KeyTokens: keyTokens}
+	for i := keyTokens/pieceTokens - 1; i < len(r.pieces); i += keyTokens / pieceTokens {
+		r.known.Keys = append(r.known.Keys, piece.Key(r.pieces[i]))
+	}
+	return r
 }
 
 // service is what the request is charged.
@@ -47,8 +55,8 @@
 
 // grant is a slot that the queue gave.
 type grant struct {
-	request  *request
-	endpoint *endpoint.Endpoint
+	request *request
+	slot    *endpoint.Slot
 }
 
 // entry runs the real queue and directory.
@@ -97,7 +105,7 @@
 	if r.attempts > 0 {
 		estimate = 0
 	}
-	t, err := n.queue.Join(queue.Request{Workspace: name, Estimate: estimate, Choose: func() *endpoint.Endpoint { return n.choose(r) }})
+	t, err := n.queue.Join(queue.Request{Workspace: name, Estimate: estimate, Choose: func() *endpoint.Slot { return n.choose(r) }})
 	if err != nil {
 		n.refuse(r)
 		return
@@ -113,16 +121,18 @@
 }
 
 // choose takes a slot, away from endpoints that failed the request if there are others.
-func (n *entry) choose(r *request) *endpoint.Endpoint {
+func (n *entry) choose(r *request) *endpoint.Slot {
 	list := n.directory.View().Model(model)
 	now := n.fleet.line.now()
-	e := n.fleet.variant.choose(list, endpoint.Need{Not: r.failed}, now, n.turn, n.rng)
+	need := endpoint.Need{Not: r.failed, Prompt: r.known}
+	e := n.fleet.variant.choose(list, need, now, n.turn, n.rng)
 	if e == nil && len(r.failed) > 0 {
-		e = n.fleet.variant.choose(list, endpoint.Need{}, now, n.turn, n.rng)
+		need.Not = nil
+		e = n.fleet.variant.choose(list, need, now, n.turn, n.rng)
 	}
 	if e != nil {
 		n.turn++
-		n.granted = append(n.granted, grant{request: r, endpoint: e})
+		n.granted = append(n.granted, grant{request: r, slot: e})
 	}
 	return e
 }
@@ -148,22 +158,23 @@
 	j.token = func() {
 		r.delivered++
 		r.last = n.fleet.line.now()
+		g.slot.Started()
 		if r.delivered == 1 {
 			r.first = r.last
 		}
 	}
 	j.done = func(lost bool) { n.ended(g, j, lost) }
-	e := n.fleet.engines[g.endpoint.State().Endpoint]
+	e := n.fleet.engines[g.slot.State().Endpoint]
 	n.fleet.line.after(network, func() { e.accept(j) })
 }
 
 // ended gives the slot back and ends the request or tries again.
 func (n *entry) ended(g grant, j *job, lost bool) {
-	g.endpoint.Release()
+	g.slot.Release()
 	if lost {
 		n.retry(g)
 	} else {
-		g.endpoint.Worked()
+		g.slot.Worked()
 		n.finish(g.request, j)
 	}
 	n.wake()
@@ -171,12 +182,12 @@
 
 func (n *entry) retry(g grant) {
 	r := g.request
-	g.endpoint.Failed(n.fleet.line.now())
+	g.slot.Failed(n.fleet.line.now())
 	if r.attempts >= maxAttempts {
 		n.refuse(r)
 		return
 	}
-	r.failed = append(r.failed, g.endpoint.State().Endpoint)
+	r.failed = append(r.failed, g.slot.State().Endpoint)
 	n.fleet.line.after(time.Duration(n.rng.Int64N(int64(maxPause))), func() { n.join(r) })
 }
 
--- a/policy/variant.go
+++ b/policy/variant.go
@@ -17,7 +17,7 @@
 }
 
 // chooser takes a slot for a request, or returns nil.
-type chooser func(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, turn int, rng *rand.Rand) *endpoint.Endpoint
+type chooser func(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, turn int, rng *rand.Rand) *endpoint.Slot
 
 func variants() []variant {
 	return []variant{
@@ -30,12 +30,12 @@
 }
 
 // current is what entries do.
-func current(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, _ int, rng *rand.Rand) *endpoint.Endpoint {
+func current(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, _ int, rng *rand.Rand) *endpoint.Slot {
 	return endpoint.Choose(list, need, now, rng)
 }
 
 // roundRobin offers the request to one endpoint after the other.
-func roundRobin(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, turn int, rng *rand.Rand) *endpoint.Endpoint {
+func roundRobin(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, turn int, rng *rand.Rand) *endpoint.Slot {
 	for i := range list {
 		at := (turn + i) % len(list)
 		if e := endpoint.Choose(list[at:at+1], need, now, rng); e != nil {
@@ -46,7 +46,7 @@
 }
 
 // twoChoices takes the one of two random endpoints that has fewer of the entry's requests in flight.
-func twoChoices(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, _ int, rng *rand.Rand) *endpoint.Endpoint {
+func twoChoices(list []*endpoint.Endpoint, need endpoint.Need, now time.Time, _ int, rng *rand.Rand) *endpoint.Slot {
 	if len(list) == 0 {
 		return nil
 	}
--- a/shared/endpoint/directory.go
+++ b/shared/endpoint/directory.go
@@ -168,7 +168,9 @@
 		limit = defaultLimit
 	}
 	e.limit.Store(int64(limit))
-	e.state.Store(&state)
+	if before := e.state.Swap(&state); before != nil && before.ModelVersion != state.ModelVersion {
+		e.memory.forget()
+	}
 	return e
 }
 
--- a/shared/endpoint/directory_test.go
+++ b/shared/endpoint/directory_test.go
@@ -31,7 +31,7 @@
 		epoch, sequence := wire.Epoch(1), 0
 		drains := map[wire.OrderId]wire.EndpointId{}
 		left := map[wire.EndpointId]bool{}
-		var held []*endpoint.Endpoint
+		var held []*endpoint.Slot
 		apply := func() {
 			sequence++
 			d.Apply(wire.EndpointStates{Epoch: epoch, Sequence: sequence, Endpoints: ready(ids...)})
@@ -107,7 +107,7 @@
 	})
 }
 
-func inFlight(held []*endpoint.Endpoint, id wire.EndpointId) int {
+func inFlight(held []*endpoint.Slot, id wire.EndpointId) int {
 	n := 0
 	for _, e := range held {
 		if e.State().Endpoint == id {
--- a/shared/endpoint/endpoint.go
+++ b/shared/endpoint/endpoint.go
@@ -18,6 +18,9 @@
 	// retryAt is when a failed endpoint may be tried again, in Unix nanoseconds.
 	retryAt  atomic.Int64
 	failures atomic.Int64
+	// prefill is the tokens that this entry's requests still wait to have prefilled.
+	prefill atomic.Int64
+	memory  memory
 }
 
 // Bounds of the pause after an endpoint failed.
@@ -53,11 +56,12 @@
 	return false
 }
 
-// Failed notes that the endpoint failed at now and pauses it, longer each time.
+// Failed notes that the endpoint failed at now and pauses it, longer each time. Its prefix cache counts as lost.
 func (e *Endpoint) Failed(now time.Time) {
 	n := min(e.failures.Add(1)-1, maxDoublings)
 	pause := min(pauseAtFirst<<n, pauseAtMost)
 	e.retryAt.Store(now.Add(pause).UnixNano())
+	e.memory.forget()
 }
 
 // Worked notes that the endpoint answered.
--- a/shared/piece/piece_test.go
+++ b/shared/piece/piece_test.go
@@ -18,3 +18,19 @@
 		t.Error("a longer prompt changed the names of its prefix")
 	}
 }
+
+func TestKeysAreSharedJustAsFarAsTheText(t *testing.T) {
+	a := piece.Keys([]byte("abcdefg"), 2)
+	b := piece.Keys([]byte("abcxef"), 2)
+	if len(a) != 3 || len(b) != 3 || a[0] != b[0] || a[1] == b[1] || a[2] == b[2] {
+		t.Errorf("keys %v and %v", a, b)
+	}
+}
+
+func BenchmarkKeys(b *testing.B) {
+	text := make([]byte, 32<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		piece.Keys(text, 1024)
+	}
+}
--- a/shared/queue/queue.go
+++ b/shared/queue/queue.go
@@ -22,7 +22,7 @@
 )
 
 // Choose takes a slot for a request, or returns nil if there is none now.
-type Choose func() *endpoint.Endpoint
+type Choose func() *endpoint.Slot
 
 // Queue hands out the slots of the endpoints that serve one model or service.
 type Queue struct {
@@ -59,7 +59,7 @@
 
 // Acquire waits until the request's turn comes and its Choose finds a slot. It charges the estimated service at once;
 // Charge corrects it later. It returns ErrFull at the queue's bounds and ctx's error when ctx ends first.
-func (q *Queue) Acquire(ctx context.Context, r Request) (*endpoint.Endpoint, error) {
+func (q *Queue) Acquire(ctx context.Context, r Request) (*endpoint.Slot, error) {
 	t, err := q.Join(r)
 	if err != nil {
 		return nil, err
@@ -84,7 +84,7 @@
 	if q.fair.total >= q.bounds.Total || q.fair.waiting(r.Workspace) >= q.bounds.PerWorkspace {
 		return nil, ErrFull
 	}
-	t := &Ticket{request: r, number: q.number, slot: make(chan *endpoint.Endpoint, 1)}
+	t := &Ticket{request: r, number: q.number, slot: make(chan *endpoint.Slot, 1)}
 	q.number++
 	q.fair.push(t)
 	q.serve()
@@ -92,7 +92,7 @@
 }
 
 // Leave takes a ticket out. If it got a slot before, that is returned and is the caller's to give back.
-func (q *Queue) Leave(t *Ticket) *endpoint.Endpoint {
+func (q *Queue) Leave(t *Ticket) *endpoint.Slot {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
--- a/shared/queue/queue_test.go
+++ b/shared/queue/queue_test.go
@@ -29,7 +29,7 @@
 		d := directory()
 		q := queue.New()
 		rng := rand.New(rand.NewPCG(1, 1))
-		choose := func() *endpoint.Endpoint {
+		choose := func() *endpoint.Slot {
 			return endpoint.Choose(d.View().Model("m"), endpoint.Need{}, time.Unix(0, 0), rng)
 		}
 		names := []wire.WorkspaceName{"greedy", "a", "b"}
@@ -37,7 +37,7 @@
 		cost := rapid.IntRange(1, 50).Draw(t, "cost")
 		type grant struct {
 			name wire.WorkspaceName
-			at   *endpoint.Endpoint
+			at   *endpoint.Slot
 		}
 		granted := make(chan grant, 300)
 		for _, name := range names {
@@ -77,7 +77,7 @@
 
 func TestAbandonedRequestsLeaveNothingBehind(t *testing.T) {
 	q := queue.New()
-	none := func() *endpoint.Endpoint { return nil }
+	none := func() *endpoint.Slot { return nil }
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
 	for range 3 {
--- a/shared/queue/ticket.go
+++ b/shared/queue/ticket.go
@@ -22,6 +22,6 @@
 type Ticket struct {
 	request Request
 	number  uint64
-	slot    chan *endpoint.Endpoint
+	slot    chan *endpoint.Slot
 	place   *list.Element
 }
