--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 SHELL := /bin/bash
-MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof
+MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof policy
 PACKAGES := $(MODULES:%=./%/...)
 BIN := bin
 PROGRAMS := entry controller cowslipshunt standin/platform standin/engine standin/service
@@ -11,7 +11,7 @@
 SEED := 1
 FOR := 60
 
-.PHONY: build format tidy lint test demo soak capacity bench generate clean
+.PHONY: build format tidy lint test demo soak policy capacity bench generate clean
 
 build:
 	@mkdir -p $(BIN)
@@ -39,6 +39,10 @@
 soak:
 	scripts/soak.sh $(FOR) 1000 $(FUZZED)
 
+# Measures of the queue and the choice of endpoint; not part of `make test`.
+policy:
+	@go run ./policy $(POLICY)
+
 demo: build
 	scripts/demo.sh
 
