--- a/shared/queue/bench_test.go
+++ b/shared/queue/bench_test.go
@@ -28,7 +28,7 @@
 	var parked sync.WaitGroup
 	for i := range waiting {
 		parked.Go(func() {
-			_, _ = q.Acquire(ctx, benchName(i%workspaces), 1, 100, func() *endpoint.Endpoint { return nil })
+			_, _ = q.Acquire(ctx, queue.Request{Workspace: benchName(i % workspaces), Weight: 1, Estimate: 100, Choose: func() *endpoint.Slot { return nil }})
 		})
 	}
 	for q.Waiting() < waiting {
@@ -45,13 +45,13 @@
 	for _, workspaces := range []int{8, 240} {
 		b.Run(fmt.Sprintf("workspaces=%d/waiting=0", workspaces), func(b *testing.B) {
 			q := queue.New()
-			e := benchEndpoint(b)
+			e := &endpoint.Slot{Endpoint: benchEndpoint(b)}
 			for i := range workspaces {
 				q.Charge(benchName(i), 1)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				got, err := q.Acquire(b.Context(), benchName(0), 1, 0, func() *endpoint.Endpoint { return e })
+				got, err := q.Acquire(b.Context(), queue.Request{Workspace: benchName(0), Weight: 1, Choose: func() *endpoint.Slot { return e }})
 				if err != nil || got != e {
 					b.Fatal(err)
 				}
