--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -57,7 +57,8 @@
 	return m.Run()
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. A UDP socket of the same number holds it until the test
+// ends, so that no other run of the harness on this machine takes it before a program listens there.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	ports.Lock()
@@ -68,11 +69,17 @@
 			ports.next = firstPort
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		hold, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
+			hold.Close()
 			continue
 		}
 		l.Close()
+		t.Cleanup(func() { hold.Close() })
 		return address
 	}
 	t.Fatal("no port is free")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -176,8 +176,8 @@
 held
 
 step "an operator checks and submits a document"
-"$bin/cowslipshunt" document check "$dir/document.toml" >/dev/null || failed "document check"
-"$bin/cowslipshunt" --entry "$operator1" document submit "$dir/document.toml" --base 0 --why "first document" >"$dir/submit.out" || failed "$(cat "$dir/submit.out")"
+"$bin/cowslipshunt" document check "$dir/document.toml" >/dev/null 2>&1 || failed "document check"
+"$bin/cowslipshunt" --entry "$operator1" document submit "$dir/document.toml" --base 0 --why "first document" >"$dir/submit.out" 2>"$dir/submit.err" || failed "$(cat "$dir/submit.out")"
 until_true curl -fsS "http://$ops2/readyz" || failed "entry-2 has no document"
 held "$(head -n 1 "$dir/submit.out")"
 
