Prove that a leaving and a vanished engine are replaced under load

Ruled out: taking the engine from the platform's list by hand in the first test; the platform itself drops a leaving one.

--- /dev/null
+++ b/proof/endpoint_test.go
@@ -0,0 +1,86 @@
+package proof
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/wire"
+)
+
+// fewSeconds is how long a leaving endpoint may still get new work.
+const fewSeconds = 5 * time.Second
+
+// requests counts what an engine has received.
+func (b *backend) requests() int {
+	return len(get[wire.EngineReceivedList](b.address, "/received").Requests)
+}
+
+// serving returns the engines that the platform lists and that got a request since a count.
+func (s *system) serving() []*backend {
+	var listed []*backend
+	for _, r := range get[wire.EndpointList](s.platform, "/endpoints").Endpoints {
+		i := slices.IndexFunc(s.engines, func(b *backend) bool { return b.id == string(r.Endpoint) })
+		if i >= 0 && !r.Leaving {
+			listed = append(listed, s.engines[i])
+		}
+	}
+	return listed
+}
+
+// lastNewWork watches an engine and returns when it last got a request, after a quiet time.
+func lastNewWork(t *testing.T, b *backend, quiet time.Duration) time.Time {
+	t.Helper()
+	seen, last := b.requests(), time.Now()
+	eventually(t, b.id+" gets no new work", func() bool {
+		if n := b.requests(); n != seen {
+			seen, last = n, time.Now()
+		}
+		return time.Since(last) > quiet
+	})
+	return last
+}
+
+// TestLeavingEndpointIsReplaced lets the platform announce that an engine leaves, under load, and then takes it away.
+func TestLeavingEndpointIsReplaced(t *testing.T) {
+	p := whole()
+	p.engines, p.spare = 3, 1
+	s := newSystem(t, p)
+	s.serveFully()
+	l := startLoad(s, 6)
+	leaving := s.serving()[0]
+	eventually(t, "it has work", func() bool { return leaving.requests() > 0 })
+	announced := time.Now()
+	s.post(s.platform, "/endpoints/leaving", wire.EndpointRef{Endpoint: wire.EndpointId(leaving.id)})
+	last := lastNewWork(t, leaving, fewSeconds)
+	t.Logf("last new work %v after the notice", last.Sub(announced).Round(time.Millisecond))
+	if last.Sub(announced) > fewSeconds {
+		t.Errorf("it got work for %v", last.Sub(announced))
+	}
+	leaving.process.kill()
+	eventually(t, "another engine took its place", func() bool {
+		now := s.serving()
+		return len(now) == 2 && now[0].requests() > 0 && now[1].requests() > 0
+	})
+	l.finish(t, 20)
+	s.checkOrders(t)
+}
+
+// TestVanishedEndpointIsLeftAlone kills an engine that nobody announced: the answers stay whole, and the others take the
+// work.
+func TestVanishedEndpointIsLeftAlone(t *testing.T) {
+	p := whole()
+	p.engines, p.spare = 3, 1
+	s := newSystem(t, p)
+	s.serveFully()
+	l := startLoad(s, 6)
+	gone := s.serving()[0]
+	eventually(t, "it has work", func() bool { return gone.requests() > 0 })
+	gone.process.kill()
+	s.post(s.platform, "/endpoints/vanish", wire.EndpointRef{Endpoint: wire.EndpointId(gone.id)})
+	eventually(t, "another engine took its place", func() bool {
+		now := s.serving()
+		return len(now) == 2 && now[0].requests() > 0 && now[1].requests() > 0
+	})
+	l.finish(t, 20)
+}
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -34,6 +34,8 @@
 	entries  int
 	engines  int
 	services int
+	// spare is how many of a domain's engines the document does not order.
+	spare int
 	// engineSettings is added to each engine's settings.
 	engineSettings string
 	// entrySettings is added to each entry's settings, ahead of tables.
@@ -130,7 +132,7 @@
 					ready++
 				}
 			}
-			return ready == s.plan.engines+s.plan.services
+			return ready == s.plan.engines-s.plan.spare+s.plan.services
 		})
 	}
 }
@@ -217,7 +219,7 @@
 	}
 	for _, domain := range s.plan.domains {
 		d.Fleet = append(d.Fleet,
-			document.Fleet{Domain: wire.DomainName(domain), Kind: "drafting", Count: s.plan.engines},
+			document.Fleet{Domain: wire.DomainName(domain), Kind: "drafting", Count: s.plan.engines - s.plan.spare},
 			document.Fleet{Domain: wire.DomainName(domain), Kind: "booking", Count: s.plan.services})
 	}
 	return d
