Price what could take over where the slopes break the budget

Ruled out: pricing them by arithmetic on the present encoding alone. Figures: docs/capacity-slopes.txt and docs/bench.txt, written by make capacity and make bench.

--- a/proof/capacity/entry_test.go
+++ b/proof/capacity/entry_test.go
@@ -98,15 +98,15 @@
 	return json.Unmarshal(answer, into)
 }
 
-// submit makes a document the first one.
-func (s *entrySettings) submit(b *testing.B, d *document.Document) {
+// submit makes a document the next one after a version.
+func (s *entrySettings) submit(b *testing.B, d *document.Document, base wire.DocumentVersion) {
 	b.Helper()
 	text, err := document.Encode(d)
 	if err != nil {
 		b.Fatal(err)
 	}
 	waitFor(b, "the operators' interface", func() bool { return s.ask(http.MethodGet, "/v1/status", nil, &wire.StatusAnswer{}) == nil })
-	request := wire.SubmitRequest{File: "bench.toml", Text: string(text), Why: "bench"}
+	request := wire.SubmitRequest{BaseVersion: base, File: "bench.toml", Text: string(text), Why: "bench"}
 	if err := s.ask(http.MethodPost, "/v1/document", request, &wire.SubmitAnswer{}); err != nil {
 		b.Fatal(err)
 	}
--- a/proof/capacity/footprint_test.go
+++ b/proof/capacity/footprint_test.go
@@ -70,21 +70,34 @@
 			for _, p := range peers {
 				start(b, "entry", p)
 			}
-			entry.submit(b, targetDocument())
+			entry.submit(b, targetDocument(), 0)
 			entry.hold(b, targetStates())
-			waitFor(b, "every peer's link and document", func() bool { return settled(entry.status(b)) })
-			b.ResetTimer()
+			waitFor(b, "every peer's link and document", func() bool { return settled(entry.status(b), 1) })
+
 			for b.Loop() {
 				report(b, running.read(b), running.after(b, watched))
 			}
+			change(b, entry, running)
 		})
 	}
 }
 
+// change submits a document at the watched entry and waits until every instance has confirmed it.
+func change(b *testing.B, entry *entrySettings, running *process) {
+	b.Helper()
+	d := targetDocument()
+	d.Workspace[0].Weight = 2
+	before, started := running.read(b), time.Now()
+	entry.submit(b, d, 1)
+	waitFor(b, "the change", func() bool { return settled(entry.status(b), 2) })
+	b.ReportMetric(float64(time.Since(started).Milliseconds()), "change-ms")
+	b.ReportMetric(float64(running.read(b).sentBytes-before.sentBytes), "change-out-B")
+}
+
 // settled tells whether every instance is linked and has the document.
-func settled(s wire.StatusAnswer) bool {
+func settled(s wire.StatusAnswer, version wire.DocumentVersion) bool {
 	for _, i := range s.Instances {
-		if !i.Connected || i.DocumentVersion != 1 {
+		if !i.Connected || i.DocumentVersion != version {
 			return false
 		}
 	}
--- a/proof/capacity/overhead_test.go
+++ b/proof/capacity/overhead_test.go
@@ -54,12 +54,12 @@
 	peer.know(f.entry)
 	f.run = start(b, "entry", f.entry, env...)
 	start(b, "entry", peer)
-	f.entry.submit(b, overheadDocument())
+	f.entry.submit(b, overheadDocument(), 0)
 	f.entry.hold(b, []wire.EndpointState{{
 		Endpoint: "engine", Domain: domain, Kind: "kind", Address: engine, Model: "model", ModelVersion: "v1",
 		Phase: wire.EndpointPhaseReady, Role: wire.EngineRoleMixed,
 	}})
-	waitFor(b, "the peer", func() bool { return settled(f.entry.status(b)) })
+	waitFor(b, "the peer", func() bool { return settled(f.entry.status(b), 1) })
 	return f
 }
 
--- a/shared/document/bench_test.go
+++ b/shared/document/bench_test.go
@@ -1,6 +1,8 @@
 package document_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"runtime"
 	"testing"
@@ -87,10 +89,25 @@
 				}
 			}
 			b.ReportMetric(float64(len(text)), "document-B")
+			b.ReportMetric(benchCompressed(b, text), "compressed-B")
 		})
 	}
 }
 
+// benchCompressed returns a text's size under gzip.
+func benchCompressed(b *testing.B, text []byte) float64 {
+	b.Helper()
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if _, err := w.Write(text); err != nil {
+		b.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		b.Fatal(err)
+	}
+	return float64(packed.Len())
+}
+
 // BenchmarkDocumentMemory reports the heap that one accepted document holds.
 func BenchmarkDocumentMemory(b *testing.B) {
 	const copies = 10
