--- a/entry/answer/bench_test.go
+++ b/entry/answer/bench_test.go
@@ -85,7 +85,7 @@
 	queues := queue.NewSet(ctx, clockwork.NewRealClock())
 	gate := visit.NewGate(benchCurrent(b), benchParts{}, 4096, logger)
 	limits := answer.Limits{Queue: time.Minute, Stall: time.Minute, Whole: time.Minute}
-	server := httptest.NewServer(http.HandlerFunc(answer.NewServer(gate, directory, queues, benchParts{}, benchParts{}, limits).ServeChat))
+	server := httptest.NewServer(http.HandlerFunc(answer.NewServer(gate, directory, queues, benchParts{}, benchParts{}, clockwork.NewRealClock(), limits).ServeChat))
 	b.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
