--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 
 # Packages whose benchmarks give the slopes of docs/CAPACITY.md; what runs real programs is in proof/capacity.
 MEASURED := document endpoint queue usage channel booking
-SLOPES := $(MEASURED:%=./shared/%) ./entry/answer ./entry/billing ./entry/follower
+SLOPES := $(MEASURED:%=./shared/%) ./entry/answer ./entry/billing ./entry/follower ./controller/domain
 BENCHTIME := 300ms
 HEADING = echo "$$(date -u +%F), $$(go env GOVERSION), $$(nproc) cores shared with other work"
 
--- a/shared/channel/bench_test.go
+++ b/shared/channel/bench_test.go
@@ -155,6 +155,15 @@
 		{name: "DocumentRow", message: wire.DocumentRow{Version: 1600, Digest: benchDigest, Who: "operator", Why: "a change"}},
 		{name: "LeaseRow", message: wire.LeaseRow{Lease: "domain/domain-1", Epoch: 12, Holder: benchInstance, Incarnation: benchIncarnate, Renewal: 123456, TermMillis: 3000}},
 	}
+	var endpoints wire.EndpointList
+	for i := range 440 {
+		endpoints.Endpoints = append(endpoints.Endpoints, wire.EndpointRecord{Endpoint: wire.EndpointId(fmt.Sprintf("domain-1-engine-%04d", i)), Domain: "domain-1", Kind: "kind-model-07", Address: "10.1.1.142:8000"})
+	}
+	var instances wire.InstanceList
+	for i := range 800 {
+		instances.Instances = append(instances.Instances, wire.InstanceRecord{Instance: wire.InstanceName(fmt.Sprintf("entry-domain-1-%03d", i)), Domain: "domain-1", Program: wire.ProgramEntry, Address: "10.1.1.142:7200", Phase: wire.InstancePhaseLive})
+	}
+	rows = append(rows, benchCase{name: "EndpointList/endpoints=440", message: endpoints}, benchCase{name: "InstanceList/instances=800", message: instances})
 	for _, n := range []int{1, 58, 100, 4560} {
 		rows = append(rows, benchCase{name: fmt.Sprintf("UsageRow/figures=%d", n), message: wire.UsageRow{Instance: benchInstance, Totals: benchTotals(n)}})
 	}
