--- a/entry/serve.go
+++ b/entry/serve.go
@@ -30,8 +30,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// flushWithin bounds the last write of usage at a stop.
-const flushWithin = 30 * time.Second
+// Bounds of a stop.
+const (
+	// flushWithin bounds the last write of usage.
+	flushWithin = 30 * time.Second
+	// cutWithin bounds the wait for requests whose connections were closed at the deadline.
+	cutWithin = 2 * time.Second
+	cutPoll   = 10 * time.Millisecond
+)
 
 // program is a running entry.
 type program struct {
@@ -57,6 +63,7 @@
 	}
 	defer p.hub.Close()
 	err = p.listen(ctx, background)
+	p.awaitCut(clockwork.NewRealClock())
 	stop()
 	p.services.Wait()
 	flush, cancel := context.WithTimeout(process.Hard(ctx), flushWithin)
@@ -74,7 +81,7 @@
 	clock := clockwork.NewRealClock()
 	self := wire.Hello{Instance: cfg.Instance, Incarnation: wire.IncarnationId(uuid.NewString()), Domain: cfg.Domain, Program: wire.ProgramEntry}
 	store := platform.NewClient(cfg.Platform, platform.WithTimeout(millis(cfg.StoreTimeoutMillis)))
-	p := &program{cfg: cfg, logger: logger, operations: process.NewOperations(), hub: channel.NewHub(self, logger)}
+	p := &program{cfg: cfg, logger: logger, operations: process.NewOperations(), hub: channel.NewHub(self, logger, channel.WithSecret(cfg.PeerSecret))}
 	queues := queue.NewSet(background, clock)
 	p.current = document.NewCurrent()
 	directory := endpoint.NewDirectory(endpoint.WithLimits(p.limitOf), endpoint.WithChanged(queues.Wake))
@@ -90,7 +97,7 @@
 	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
 	p.gate = visit.NewGate(p.current, follow, cfg.MaxRequests, logger)
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, follow, clock, logger)
-	forwarder := peer.NewForwarder(self, p.peers(), millis(cfg.StallMillis))
+	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, p.hub, clock, millis(cfg.StallMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
 	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
 	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
@@ -100,7 +107,7 @@
 	})
 	follow.Route(router)
 	control.Route(router)
-	p.recorder.Route(router)
+	p.recorder.Route(router, p.hub)
 	go func() {
 		if err := router.Run(background); err != nil {
 			logger.Error().Err(err).Msg("router ended")
@@ -164,9 +171,10 @@
 	return router
 }
 
-// peerRoutes returns the interface for peers and the holder of the domain's lease.
+// peerRoutes returns the interface for peers and the holder of the domain's lease, which share a secret.
 func (p *program) peerRoutes() http.Handler {
 	router := chi.NewRouter()
+	router.Use(p.cfg.PeerSecret.Guard)
 	router.Handle("/control", p.hub)
 	router.Route(peer.PathForward, func(router chi.Router) {
 		router.Post("/v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { p.answers.ServeForwarded(w, r, true) })
@@ -216,6 +224,20 @@
 	return p.cutError(group.Wait())
 }
 
+// awaitCut lets requests whose connections were closed end, so that what they delivered is billed with the last totals.
+func (p *program) awaitCut(clock clockwork.Clock) {
+	deadline := clock.After(cutWithin)
+	ticker := clock.NewTicker(cutPoll)
+	defer ticker.Stop()
+	for p.gate.Inside() > 0 {
+		select {
+		case <-ticker.Chan():
+		case <-deadline:
+			return
+		}
+	}
+}
+
 // cutError says what a shutdown ended before it was done.
 func (p *program) cutError(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
--- a/shared/usage/merge.go
+++ b/shared/usage/merge.go
@@ -23,12 +23,10 @@
 	}
 }
 
-// takeLarger keeps a figure unless there is one of as many requests.
+// takeLarger raises a cell's figure to another one, counter by counter.
 func takeLarger(figures map[cell]wire.UsageFigure, f wire.UsageFigure) {
 	at := cell{workspace: f.Workspace, model: f.Model}
-	if old, known := figures[at]; !known || old.Requests < f.Requests {
-		figures[at] = f
-	}
+	figures[at] = largest(figures[at], f)
 }
 
 // sorted returns figures in their order, nil for none.
@@ -44,6 +42,15 @@
 	return list
 }
 
+// largest takes each counter's larger value: they only rise.
+func largest(a, b wire.UsageFigure) wire.UsageFigure {
+	b.Requests = max(a.Requests, b.Requests)
+	b.PromptTokens = max(a.PromptTokens, b.PromptTokens)
+	b.OutputTokens = max(a.OutputTokens, b.OutputTokens)
+	b.Cost = max(a.Cost, b.Cost)
+	return b
+}
+
 // SortFigures orders figures by workspace and model.
 func SortFigures(figures []wire.UsageFigure) {
 	slices.SortFunc(figures, func(a, b wire.UsageFigure) int {
