--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -8,8 +8,8 @@
 	"cowslipshunt.example/wire"
 )
 
-// fewSeconds is how long a leaving endpoint may still get new work.
-const fewSeconds = 5 * time.Second
+// newWorkWithin is how long a leaving endpoint may still get new work.
+const newWorkWithin = 5 * time.Second
 
 // requests counts what an engine has received.
 func (b *backend) requests() int {
@@ -52,9 +52,9 @@
 	eventually(t, "it has work", func() bool { return leaving.requests() > 0 })
 	announced := time.Now()
 	s.post(s.platform, "/endpoints/leaving", wire.EndpointRef{Endpoint: wire.EndpointId(leaving.id)})
-	last := lastNewWork(t, leaving, fewSeconds)
+	last := lastNewWork(t, leaving, newWorkWithin)
 	t.Logf("last new work %v after the notice", last.Sub(announced).Round(time.Millisecond))
-	if last.Sub(announced) > fewSeconds {
+	if last.Sub(announced) > newWorkWithin {
 		t.Errorf("it got work for %v", last.Sub(announced))
 	}
 	leaving.process.kill()
