Refuse callers whose bodies do not come

Cause: only headers had a time limit; a caller that sent a header and no body held its place for ever. Before: TestSlowCallerIsRefused red: no answer after 5 s. A first try reset the deadline in every case and stayed red: net/http reads the rest of a body before it answers; the deadline now stays on a connection whose body failed. After: green, 408 NotRun within the bound, another caller answered meanwhile; oversized bodies and headers get 413 and 431 and reach no engine. Ruled out: http.Server.ReadTimeout, which would cut long streams' connections. Conclusion: BodyMillis, 10 s by default.

--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -70,6 +70,8 @@
 
 // Limits are the times that a request may take.
 type Limits struct {
+	// Body bounds the wait for a request's body.
+	Body time.Duration
 	// Queue bounds the wait for a slot.
 	Queue time.Duration
 	// Stall bounds the time between two events of an engine.
@@ -134,7 +136,7 @@
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, v *visit.Visit, chat bool) *problem.Problem {
-	data, p := caller.ReadBody(w, r, maxBody)
+	data, p := caller.ReadBody(w, r, maxBody, s.limits.Body)
 	if p != nil {
 		return p
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -148,11 +148,12 @@
 }
 
 func (p *program) answerLimits() answer.Limits {
-	return answer.Limits{Queue: millis(p.cfg.QueueMillis), Stall: millis(p.cfg.StallMillis), Whole: millis(p.cfg.WholeMillis)}
+	return answer.Limits{Body: millis(p.cfg.BodyMillis), Queue: millis(p.cfg.QueueMillis), Stall: millis(p.cfg.StallMillis), Whole: millis(p.cfg.WholeMillis)}
 }
 
 func (p *program) serviceLimits() service.Limits {
 	return service.Limits{
+		Body:   millis(p.cfg.BodyMillis),
 		Queue:  millis(p.cfg.QueueMillis),
 		Answer: millis(p.cfg.StallMillis),
 		Whole:  millis(p.cfg.WholeMillis),
--- a/entry/service/server.go
+++ b/entry/service/server.go
@@ -48,6 +48,8 @@
 
 // Limits are the times that a request may take.
 type Limits struct {
+	// Body bounds the wait for a request's body.
+	Body time.Duration
 	// Queue bounds the wait for a slot.
 	Queue time.Duration
 	// Answer bounds the wait for an endpoint's answer to begin.
@@ -158,7 +160,7 @@
 	if p := c.check(); p != nil {
 		return p
 	}
-	body, p := caller.ReadBody(w, c.r, maxBody)
+	body, p := caller.ReadBody(w, c.r, maxBody, s.limits.Body)
 	if p != nil {
 		return p
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,8 @@
 
 	// MaxRequests bounds the requests inside; zero is 4096.
 	MaxRequests int
+	// BodyMillis bounds the wait for a request's body.
+	BodyMillis int
 	// QueueMillis bounds a request's wait for an endpoint.
 	QueueMillis int
 	// StallMillis bounds the time between two events of an engine, and the wait for an answer's first byte.
@@ -67,6 +69,7 @@
 // Defaults of settings that are zero.
 const (
 	defaultMaxRequests        = 4096
+	defaultBodyMillis         = 10_000
 	defaultQueueMillis        = 10_000
 	defaultStallMillis        = 10_000
 	defaultWholeMillis        = 600_000
@@ -114,6 +117,7 @@
 		otherwise int
 	}{
 		{"MaxRequests", &s.MaxRequests, defaultMaxRequests},
+		{"BodyMillis", &s.BodyMillis, defaultBodyMillis},
 		{"QueueMillis", &s.QueueMillis, defaultQueueMillis},
 		{"StallMillis", &s.StallMillis, defaultStallMillis},
 		{"WholeMillis", &s.WholeMillis, defaultWholeMillis},
--- a/shared/caller/body.go
+++ b/shared/caller/body.go
@@ -4,17 +4,25 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"cowslipshunt.example/shared/problem"
 )
 
-// ReadBody reads a request's body whole, at most limit bytes.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Problem) {
+// ReadBody reads a request's body whole, at most limit bytes and for no longer than within. The
+// connection of a body that was not read keeps its deadline, for the server would wait for the rest before it answers.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, within time.Duration) ([]byte, *problem.Problem) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(within))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, problem.New(http.StatusRequestTimeout, problem.NotRun, "the body did not come within %v", within)
 	case errors.As(err, &tooLarge):
 		return nil, problem.New(http.StatusRequestEntityTooLarge, problem.NotRun, "the body is larger than %d bytes", limit)
 	}
