--- a/cowslipshunt/cmd_audit.go
+++ b/cowslipshunt/cmd_audit.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -15,7 +16,7 @@
 	cmd := &cobra.Command{
 		Use:   "audit [--after TIME] [--limit N]",
 		Short: "show who did what, when and why",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return showAudit(cmd, s, after, limit)
 		},
--- a/cowslipshunt/cmd_document.go
+++ b/cowslipshunt/cmd_document.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"fmt"
 	"os"
 
@@ -9,7 +10,7 @@
 )
 
 func newDocumentCommand(s *session) *cobra.Command {
-	return group("document", "check, submit and show the document",
+	return command.NewGroup("document", "check, submit and show the document",
 		newDocumentCheckCommand(), newDocumentSubmitCommand(s),
 		newDocumentShowCommand(s), newDocumentDiffCommand(s), newDocumentHistoryCommand(s))
 }
--- a/cowslipshunt/cmd_document_check.go
+++ b/cowslipshunt/cmd_document_check.go
@@ -1,13 +1,16 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
 
 func newDocumentCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
 		Short: "check a document without an entry",
 		Long:  "Check a document without asking an entry. Every finding is printed with its file, line, column and field.",
-		Args:  input(cobra.ExactArgs(1)),
+		Args:  command.Input(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if _, _, err := readDocument(args[0]); err != nil {
 				return err
--- a/cowslipshunt/cmd_document_diff.go
+++ b/cowslipshunt/cmd_document_diff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"cowslipshunt.example/shared/command"
 	"fmt"
 	"io"
 
@@ -22,7 +23,7 @@
 		Use:   "diff FILE",
 		Short: "show what a document would change",
 		Long:  "Show what a document would change of the one in force, one line a change. Of digests 12 digits are shown.",
-		Args:  input(cobra.ExactArgs(1)),
+		Args:  command.Input(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return diffDocument(cmd, s, args[0])
 		},
--- a/cowslipshunt/cmd_document_history.go
+++ b/cowslipshunt/cmd_document_history.go
@@ -1,12 +1,15 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
 
 func newDocumentHistoryCommand(s *session) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "history",
 		Short: "show who submitted which version and why",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			client, err := s.client()
 			if err != nil {
--- a/cowslipshunt/cmd_document_show.go
+++ b/cowslipshunt/cmd_document_show.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"io"
 
 	"cowslipshunt.example/shared/document"
@@ -14,7 +15,7 @@
 		Use:   "show [--version N]",
 		Short: "show an accepted document",
 		Long:  "Show an accepted document: its text goes to standard output, its version to standard error.",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if version < 0 {
 				return inputError("--version: %d is negative", version)
--- a/cowslipshunt/cmd_document_submit.go
+++ b/cowslipshunt/cmd_document_submit.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"fmt"
 	"strings"
 
@@ -15,7 +16,7 @@
 		Short: "submit a document",
 		Long: "Submit a document on the version it was written from. It is checked here first, then by the entry. If another\n" +
 			"version is in force, nothing is changed, and what has changed since the base version is printed.",
-		Args: input(cobra.ExactArgs(1)),
+		Args: command.Input(cobra.ExactArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			r.File = args[0]
 			return submitFile(cmd, s, r)
--- a/cowslipshunt/cmd_key.go
+++ b/cowslipshunt/cmd_key.go
@@ -1,11 +1,12 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"github.com/spf13/cobra"
 )
 
 func newKeyCommand(s *session) *cobra.Command {
-	return group("key", "issue and withdraw keys", newKeyIssueCommand(s), newKeyWithdrawCommand(s), newKeyNewCommand(), newKeyDigestCommand())
+	return command.NewGroup("key", "issue and withdraw keys", newKeyIssueCommand(s), newKeyWithdrawCommand(s), newKeyNewCommand(), newKeyDigestCommand())
 }
 
 // addKeyFlags adds the flags that both key commands need.
--- a/cowslipshunt/cmd_key_digest.go
+++ b/cowslipshunt/cmd_key_digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cowslipshunt.example/shared/command"
 	"errors"
 	"fmt"
 	"strings"
@@ -18,7 +19,7 @@
 		Use:   "digest",
 		Short: "print the digest of a key or token",
 		Long:  "Print the digest of the key or token on the first line of standard input, as documents and settings hold it.",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			line, _ := bufio.NewReader(cmd.InOrStdin()).ReadString('\n')
 			key := strings.TrimSpace(line)
--- a/cowslipshunt/cmd_key_issue.go
+++ b/cowslipshunt/cmd_key_issue.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"errors"
 	"fmt"
 	"slices"
@@ -17,7 +18,7 @@
 		Short: "issue a key and print it once",
 		Long: "Issue a key: put its digest into the document in force, submit that, and print the key to standard output. The\n" +
 			"key is stored nowhere. After a conflict it tries again on the new version, three times at most.",
-		Args: input(cobra.NoArgs),
+		Args: command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return issueKey(cmd, s, e)
 		},
--- a/cowslipshunt/cmd_key_new.go
+++ b/cowslipshunt/cmd_key_new.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"fmt"
 
 	"cowslipshunt.example/shared/document"
@@ -12,7 +13,7 @@
 		Use:   "new",
 		Short: "print a new random key or token",
 		Long:  "Print a new random key or token. Nothing is submitted: it is for an operator's token, or for a first document.",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(cmd.OutOrStdout(), document.NewKey())
 			return err
--- a/cowslipshunt/cmd_key_withdraw.go
+++ b/cowslipshunt/cmd_key_withdraw.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"fmt"
 	"slices"
 
@@ -16,7 +17,7 @@
 		Long: "Withdraw a key: take its digest out of the document in force and submit that. After a conflict it tries again on\n" +
 			"the new version, three times at most. The key is refused where the new version is in force; the failure domains\n" +
 			"that have not confirmed it are named.",
-		Args: input(cobra.NoArgs),
+		Args: command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return withdrawKey(cmd, s, e)
 		},
--- a/cowslipshunt/cmd_orders.go
+++ b/cowslipshunt/cmd_orders.go
@@ -1,12 +1,15 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
 
 func newOrdersCommand(s *session) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "orders",
 		Short: "show the orders to engines and for endpoints",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return showOrders(cmd, s)
 		},
--- a/cowslipshunt/cmd_root.go
+++ b/cowslipshunt/cmd_root.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"fmt"
 
 	"cowslipshunt.example/shared/manual"
@@ -29,7 +30,7 @@
 
 func newRootCommand() *cobra.Command {
 	s := &session{}
-	root := group("cowslipshunt", "command line for operators",
+	root := command.NewGroup("cowslipshunt", "command line for operators",
 		newDocumentCommand(s), newKeyCommand(s),
 		newStatusCommand(s), newAuditCommand(s), newOrdersCommand(s), newUsageCommand(s))
 	root.Long = description
@@ -41,27 +42,6 @@
 	return root
 }
 
-// group returns a command that only holds others.
-func group(use, short string, commands ...*cobra.Command) *cobra.Command {
-	c := &cobra.Command{Use: use, Short: short, Args: input(cobra.NoArgs), RunE: showHelp}
-	c.AddCommand(commands...)
-	return c
-}
-
-func showHelp(cmd *cobra.Command, _ []string) error {
-	return cmd.Help()
-}
-
-// input makes an arguments' fault an InputError.
-func input(check cobra.PositionalArgs) cobra.PositionalArgs {
-	return func(cmd *cobra.Command, args []string) error {
-		if err := check(cmd, args); err != nil {
-			return &process.InputError{Err: err}
-		}
-		return nil
-	}
-}
-
 func inputError(format string, args ...any) error {
 	return &process.InputError{Err: fmt.Errorf(format, args...)}
 }
--- a/cowslipshunt/cmd_status.go
+++ b/cowslipshunt/cmd_status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cowslipshunt.example/shared/command"
 	"fmt"
 	"io"
 
@@ -12,7 +13,7 @@
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "show instances, endpoints and leases as the entry sees them",
-		Args:  input(cobra.NoArgs),
+		Args:  command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			client, err := s.client()
 			if err != nil {
--- a/cowslipshunt/cmd_usage.go
+++ b/cowslipshunt/cmd_usage.go
@@ -1,6 +1,9 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
 
 func newUsageCommand(s *session) *cobra.Command {
 	cmd := &cobra.Command{
@@ -8,7 +11,7 @@
 		Short: "show the usage windows",
 		Long: "Show the usage windows: one line for each workspace and model or service. Costs are in currency units; with\n" +
 			"--json they are in millionths.",
-		Args: input(cobra.NoArgs),
+		Args: command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return showUsage(cmd, s)
 		},
--- a/entry/cmd_root.go
+++ b/entry/cmd_root.go
@@ -1,12 +1,20 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"cowslipshunt.example/shared/manual"
+	"github.com/spf13/cobra"
+)
+
+const programName = "entry"
+
+const description = `entry takes callers' requests to endpoints: it authenticates them by the accepted document, queues them fairly, chooses an
+endpoint of its failure domain, streams the answer and meters usage. It also serves the operators' interface. At SIGTERM it
+stops being ready, finishes what is in progress, writes its usage and exits; a second signal ends it at once.`
 
 func newRootCommand() *cobra.Command {
-	root := &cobra.Command{
-		Use:   "entry",
-		Short: "path of callers' requests to endpoints",
-	}
-	root.AddCommand(newServeCommand(), newCheckCommand())
+	root := command.NewGroup(programName, "path of callers' requests to endpoints", newServeCommand(), command.NewCheck(&settings{}))
+	root.Long = description
+	root.Annotations = map[string]string{manual.ExitStatus: command.ExitStatus, manual.SeeAlso: "controller(1), cowslipshunt(1)"}
 	return root
 }
--- /dev/null
+++ b/shared/command/command.go
@@ -0,0 +1,70 @@
+// Package command holds what the programs' command lines share.
+package command
+
+import (
+	"fmt"
+
+	"cowslipshunt.example/shared/process"
+	"cowslipshunt.example/shared/setting"
+	"github.com/spf13/cobra"
+)
+
+// NewGroup returns a command that only holds others. Called by itself it shows its help; an unknown command under it is a
+// fault of the input.
+func NewGroup(use, short string, commands ...*cobra.Command) *cobra.Command {
+	c := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  Input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return cmd.Help()
+		},
+	}
+	c.AddCommand(commands...)
+	return c
+}
+
+// Input makes an arguments' fault a process.InputError.
+func Input(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return &process.InputError{Err: err}
+		}
+		return nil
+	}
+}
+
+// NewServe returns the command that loads settings from the file that --settings names and then runs until a signal. The
+// flag's default is the program's name with the ending .toml.
+func NewServe(program, short string, cfg setting.Checker, run func(cmd *cobra.Command) error) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: short,
+		Args:  Input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := setting.Load(path, cfg); err != nil {
+				return err
+			}
+			return run(cmd)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", program+".toml", "settings `FILE`")
+	return cmd
+}
+
+// NewCheck returns the command that checks a settings file and starts nothing.
+func NewCheck(cfg setting.Checker) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "check a settings file",
+		Args:  Input(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := setting.Load(args[0], cfg); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: no findings\n", args[0])
+			return err
+		},
+	}
+}
--- a/standin/engine/cmd_root.go
+++ b/standin/engine/cmd_root.go
@@ -1,12 +1,12 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
+
+const programName = "standin-engine"
 
 func newRootCommand() *cobra.Command {
-	root := &cobra.Command{
-		Use:   "standin-engine",
-		Short: "stand-in for a model engine",
-	}
-	root.AddCommand(newServeCommand())
-	return root
+	return command.NewGroup(programName, "stand-in for a model engine", newServeCommand())
 }
--- a/standin/platform/api.go
+++ b/standin/platform/api.go
@@ -66,17 +66,17 @@
 	r.Get("/objects/{name}", a.getObject)
 	r.Get("/endpoints", a.listEndpoints)
 	r.Post("/endpoints/orders", call(a.pool.Order))
-	r.Post("/usage/reports", command(a.usage.Report))
+	r.Post("/usage/reports", act(a.usage.Report))
 	r.Get("/instances", query(a.instances.List))
-	r.Post("/instances", command(a.instances.Put))
+	r.Post("/instances", act(a.instances.Put))
 	r.Get("/weights/{model}/{version}", a.getWeights)
 }
 
 // routeControls routes what tests steer and judge by; no fault acts on it.
 func (a *API) routeControls(r chi.Router) {
-	r.Post("/fault", command(a.fault.Set))
-	r.Post("/endpoints/leaving", command(a.pool.Leave))
-	r.Post("/endpoints/vanish", command(a.pool.Vanish))
+	r.Post("/fault", act(a.fault.Set))
+	r.Post("/endpoints/leaving", act(a.pool.Leave))
+	r.Post("/endpoints/vanish", act(a.pool.Vanish))
 	r.Get("/received/usage", query(a.usage.Received))
 	r.Get("/received/orders", query(a.pool.Received))
 }
--- a/standin/platform/call.go
+++ b/standin/platform/call.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// command serves a JSON call that only succeeds or fails.
-func command[In any](do func(In) error) http.HandlerFunc {
+// act serves a JSON call that only succeeds or fails.
+func act[In any](do func(In) error) http.HandlerFunc {
 	return call(func(in In) (Done, error) {
 		return Done{}, do(in)
 	})
--- a/standin/platform/cmd_root.go
+++ b/standin/platform/cmd_root.go
@@ -1,12 +1,12 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
+
+const programName = "standin-platform"
 
 func newRootCommand() *cobra.Command {
-	root := &cobra.Command{
-		Use:   "standin-platform",
-		Short: "stand-in for the platform's services",
-	}
-	root.AddCommand(newServeCommand())
-	return root
+	return command.NewGroup(programName, "stand-in for the platform's services", newServeCommand())
 }
--- a/standin/service/cmd_root.go
+++ b/standin/service/cmd_root.go
@@ -1,12 +1,12 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
+
+const programName = "standin-service"
 
 func newRootCommand() *cobra.Command {
-	root := &cobra.Command{
-		Use:   "standin-service",
-		Short: "stand-in for a plain booking service",
-	}
-	root.AddCommand(newServeCommand())
-	return root
+	return command.NewGroup(programName, "stand-in for a plain booking service", newServeCommand())
 }
--- a/standin/service/cmd_serve.go
+++ b/standin/service/cmd_serve.go
@@ -2,36 +2,24 @@
 
 import (
 	"context"
-	"os"
 
+	"cowslipshunt.example/shared/command"
 	"cowslipshunt.example/shared/process"
-	"cowslipshunt.example/shared/setting"
 	"cowslipshunt.example/shared/standin"
 	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 )
 
 func newServeCommand() *cobra.Command {
-	var path string
-	cmd := &cobra.Command{
-		Use:   "serve",
-		Short: "serve bookings until a signal",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd.Context(), path)
-		},
-	}
-	cmd.Flags().StringVar(&path, "settings", "", "settings file")
-	_ = cmd.MarkFlagRequired("settings")
-	return cmd
+	cfg := settings{LogLevel: defaultLogLevel}
+	return command.NewServe(programName, "serve bookings until a signal", &cfg, func(cmd *cobra.Command) error {
+		logger := process.NewLogger(cmd.ErrOrStderr(), cfg.LogLevel, programName, string(cfg.Endpoint))
+		return serve(cmd.Context(), cfg, logger)
+	})
 }
 
-func serve(ctx context.Context, path string) error {
-	cfg := settings{LogLevel: defaultLogLevel}
-	if err := setting.Load(path, &cfg); err != nil {
-		return err
-	}
-	logger := process.NewLogger(os.Stderr, cfg.LogLevel, "standin-service", string(cfg.Endpoint))
+func serve(ctx context.Context, cfg settings, logger *log.Logger) error {
 	s := newService(withClock(clockwork.NewRealClock()), withLogger(logger))
 	srv := process.NewServer(s.router())
 	srv.ConnContext = countRequests
