Keep prompts in the queue, not inside engines, by bounding the prefill waited for

Cause: slots count requests. A few long prompts filled an engine for seconds, and there the queue's order has no effect. An endpoint now takes a further prompt only while this entry waits for at most 4096 tokens of prefill there, or for none.

Two measures are new: of the workspaces that ask for no more than an equal part, the worst share of good requests and the p95 of the first token. A busier quotes trace is new.

--- a/policy/engine.go
+++ b/policy/engine.go
@@ -10,9 +10,9 @@
 // that is past its prefill.
 const (
 	stepBase       = 8 * time.Millisecond
-	stepPerToken   = 30 * time.Microsecond
+	stepPerToken   = 15 * time.Microsecond
 	stepPerRequest = 750 * time.Microsecond
-	stepTokens     = 512
+	stepTokens     = 1024
 	maxRunning     = 16
 	cachePieces    = 4000
 	pieceTokens    = 16
--- a/policy/table.go
+++ b/policy/table.go
@@ -15,7 +15,7 @@
 func newTable(w io.Writer, seeds int) *table {
 	t := &table{w: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
 	fmt.Fprintf(w, "mean and standard deviation over %d seeds\n", seeds)
-	fmt.Fprintln(t.w, "trace\tvariant\tgoodput %\tworst share %\tp95 first s\tsaved %\trefused %\tp95 refusal s")
+	fmt.Fprintln(t.w, "trace\tvariant\tgoodput %\tworst share %\tworst light %\tp95 first s\tlight p95 first s\tsaved %\trefused %\tp95 refusal s")
 	return t
 }
 
@@ -26,7 +26,9 @@
 	}{
 		{100, func(m measures) float64 { return m.good }},
 		{100, func(m measures) float64 { return m.worst }},
+		{100, func(m measures) float64 { return m.light }},
 		{1, func(m measures) float64 { return m.first }},
+		{1, func(m measures) float64 { return m.lightly }},
 		{100, func(m measures) float64 { return m.saved }},
 		{100, func(m measures) float64 { return m.refused }},
 		{1, func(m measures) float64 { return m.waited }},
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -59,11 +59,12 @@
 
 func traces() []trace {
 	return []trace{
-		{name: "quotes", engines: 9, length: traceLength, shares: fewLarge, rate: steady(3.6, 0)},
+		{name: "quotes", engines: 9, length: traceLength, shares: fewLarge, rate: steady(4.8, 0)},
+		{name: "busy-quotes", engines: 9, length: traceLength, shares: fewLarge, rate: steady(6, 0)},
 		{name: "drafts", engines: 12, length: traceLength, shares: fewLarge, rate: steady(0, 6.5)},
-		{name: "swing", engines: 9, length: swingLength, shares: fewLarge, rate: swing(3.6, 4.5)},
-		{name: "greedy", engines: 9, length: traceLength, shares: greedy, rate: steady(9, 0)},
-		{name: "loss", engines: 9, length: traceLength, shares: fewLarge, rate: steady(2.2, 0), lostAt: traceLength / 3, backAt: traceLength * 2 / 3, noticeLag: noticeLag},
+		{name: "swing", engines: 9, length: swingLength, shares: fewLarge, rate: swing(4.8, 4.5)},
+		{name: "greedy", engines: 9, length: traceLength, shares: greedy, rate: steady(7, 0)},
+		{name: "loss", engines: 9, length: traceLength, shares: fewLarge, rate: steady(3.6, 0), lostAt: traceLength / 3, backAt: traceLength * 2 / 3, noticeLag: noticeLag},
 	}
 }
 
--- a/shared/endpoint/choose.go
+++ b/shared/endpoint/choose.go
@@ -58,8 +58,9 @@
 	first := rng.IntN(len(suited))
 	for i := range suited {
 		e := suited[(first+i)%len(suited)]
-		if e.acquire() {
-			return take(e, need.Prompt, e.memory.match(need.Prompt.Keys), Left)
+		matched := e.memory.match(need.Prompt.Keys)
+		if e.takesPrefill(need.Prompt.left(matched)) && e.acquire() {
+			return take(e, need.Prompt, matched, Left)
 		}
 	}
 	return nil
@@ -81,7 +82,7 @@
 			}
 		}
 		l := looks[least]
-		if l.endpoint.acquire() {
+		if l.endpoint.takesPrefill(p.left(l.matched)) && l.endpoint.acquire() {
 			return take(l.endpoint, p, l.matched, l.reason(most))
 		}
 		looks[least] = looks[len(looks)-1]
--- a/shared/endpoint/endpoint.go
+++ b/shared/endpoint/endpoint.go
@@ -23,6 +23,10 @@
 	memory  memory
 }
 
+// maxPrefill bounds the tokens that this entry's requests wait to have prefilled at one endpoint. What is beyond waits in
+// the queue, where its order counts.
+const maxPrefill = 4096
+
 // Bounds of the pause after an endpoint failed.
 const (
 	pauseAtFirst = 250 * time.Millisecond
@@ -56,6 +60,13 @@
 	return false
 }
 
+// takesPrefill tells whether a request with so much left to prefill may go to the endpoint now. One that nothing is waited
+// for takes any.
+func (e *Endpoint) takesPrefill(tokens int) bool {
+	waited := e.prefill.Load()
+	return waited == 0 || waited+int64(tokens) <= maxPrefill
+}
+
 // Failed notes that the endpoint failed at now and pauses it, longer each time. Its prefix cache counts as lost.
 func (e *Endpoint) Failed(now time.Time) {
 	n := min(e.failures.Add(1)-1, maxDoublings)
