Let a crossed answer of the stand-in carry another prompt's tokens

Cause: the stand-in's crossed answer wore another request's ids but held the right tokens, so TestAnswersAreWholeThoughEnginesFail could not see an entry that takes any answer. Before: trial with the checks of header and event ids off: ok. Ruled out: judging by the ids a caller sees; the entry writes those itself.

--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	source := newTokenSource(j.prompt)
+	source := newTokenSource(j.shownPrompt(fault))
 	start := e.clock.Now()
 	n := j.resumed
 	for ; n < j.limit; n++ {
@@ -108,3 +108,11 @@
 	u := j.usage(output, 0)
 	return &u
 }
+
+// shownPrompt is the prompt that an answer is to; a crossed answer is to another one.
+func (j *job) shownPrompt(fault wire.EngineFault) string {
+	if fault.WrongAttempt {
+		return "crossed " + j.prompt
+	}
+	return j.prompt
+}
