--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 SHELL := /bin/bash
-MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof
+MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof policy
 PACKAGES := $(MODULES:%=./%/...)
 BIN := bin
 PROGRAMS := entry controller cowslipshunt standin/platform standin/engine standin/service
@@ -9,8 +9,9 @@
 PLAIN = $(filter-out $(FUZZED),$(shell go list -f '{{.Dir}}' $(PACKAGES) | sed 's|^$(CURDIR)|.|'))
 CHECKS := 100
 SEED := 1
+FOR := 60
 
-.PHONY: build format tidy lint test demo bench generate clean
+.PHONY: build format tidy lint test demo soak policy capacity bench generate clean
 
 build:
 	@mkdir -p $(BIN)
@@ -34,9 +35,36 @@
 	@if [ -n "$(FUZZED)" ]; then \
 		go test -race -count=1 $(FUZZED) -args -rapid.checks=$(CHECKS) -rapid.seed=$(SEED) -rapid.nofailfile; fi
 
+# Runs the fuzzers with new seeds: make soak FOR=600 (seconds).
+soak:
+	scripts/soak.sh $(FOR) 1000 $(FUZZED)
+
+# Measures of the queue and the choice of endpoint; not part of `make test`.
+policy:
+	@go run ./policy $(POLICY)
+
 demo: build
 	scripts/demo.sh
 
+# Packages whose benchmarks give the slopes of docs/CAPACITY.md; what runs real programs is in proof/capacity.
+MEASURED := document endpoint queue usage channel booking
+SLOPES := $(MEASURED:%=./shared/%) ./entry/answer ./entry/billing ./entry/follower ./controller/domain
+BENCHTIME := 300ms
+HEADING = echo "$$(date -u +%F), $$(go env GOVERSION), $$(nproc) cores shared with other work"
+
+capacity: build
+	@set -o pipefail; { echo "make capacity"; $(HEADING); \
+		go test -run '^$$' -bench . -benchtime $(BENCHTIME) $(SLOPES) && \
+		go test -run '^$$' -bench IdleEntry -benchtime 1x ./proof/capacity; \
+		} | grep -v '^cpu:' | tee $(BIN)/slopes.txt
+	@mv $(BIN)/slopes.txt docs/capacity-slopes.txt
+
+bench: build
+	@set -o pipefail; { echo "make bench"; $(HEADING); \
+		go test -run '^$$' -bench Overhead -benchtime 1x ./proof/capacity; \
+		} | grep -v '^cpu:' | tee $(BIN)/bench.txt
+	@mv $(BIN)/bench.txt docs/bench.txt
+
 generate:
 	go tool go-jsonschema -p wire --only-models --tags json -o wire/wire.go wire/schema/wire.json
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -30,8 +30,14 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// flushWithin bounds the last write of usage at a stop.
-const flushWithin = 30 * time.Second
+// Bounds of a stop.
+const (
+	// flushWithin bounds the last write of usage.
+	flushWithin = 30 * time.Second
+	// cutWithin bounds the wait for requests whose connections were closed at the deadline.
+	cutWithin = 2 * time.Second
+	cutPoll   = 10 * time.Millisecond
+)
 
 // program is a running entry.
 type program struct {
@@ -57,6 +63,7 @@
 	}
 	defer p.hub.Close()
 	err = p.listen(ctx, background)
+	p.awaitCut(clockwork.NewRealClock())
 	stop()
 	p.services.Wait()
 	flush, cancel := context.WithTimeout(process.Hard(ctx), flushWithin)
@@ -90,7 +97,7 @@
 	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
 	p.gate = visit.NewGate(p.current, follow, cfg.MaxRequests, logger)
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, follow, clock, logger)
-	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, millis(cfg.StallMillis))
+	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, p.hub, clock, millis(cfg.StallMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
 	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
 	p.services = service.NewServer(process.Hard(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
@@ -100,7 +107,7 @@
 	})
 	follow.Route(router)
 	control.Route(router)
-	p.recorder.Route(router)
+	p.recorder.Route(router, p.hub)
 	go func() {
 		if err := router.Run(background); err != nil {
 			logger.Error().Err(err).Msg("router ended")
@@ -141,11 +148,12 @@
 }
 
 func (p *program) answerLimits() answer.Limits {
-	return answer.Limits{Queue: millis(p.cfg.QueueMillis), Stall: millis(p.cfg.StallMillis), Whole: millis(p.cfg.WholeMillis)}
+	return answer.Limits{Body: millis(p.cfg.BodyMillis), Queue: millis(p.cfg.QueueMillis), Stall: millis(p.cfg.StallMillis), Whole: millis(p.cfg.WholeMillis)}
 }
 
 func (p *program) serviceLimits() service.Limits {
 	return service.Limits{
+		Body:   millis(p.cfg.BodyMillis),
 		Queue:  millis(p.cfg.QueueMillis),
 		Answer: millis(p.cfg.StallMillis),
 		Whole:  millis(p.cfg.WholeMillis),
@@ -217,6 +225,20 @@
 	return p.cutError(group.Wait())
 }
 
+// awaitCut lets requests whose connections were closed end, so that what they delivered is billed with the last totals.
+func (p *program) awaitCut(clock clockwork.Clock) {
+	deadline := clock.After(cutWithin)
+	ticker := clock.NewTicker(cutPoll)
+	defer ticker.Stop()
+	for p.gate.Inside() > 0 {
+		select {
+		case <-ticker.Chan():
+		case <-deadline:
+			return
+		}
+	}
+}
+
 // cutError says what a shutdown ended before it was done.
 func (p *program) cutError(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
