Probe a failed endpoint with one request, and forward while all are paused

Cause: requests that failed together doubled the pause several times at once; behind the pause every waiting request went to the endpoint, which looked idle; and while all engines of a domain were paused, its requests waited for engines that were gone until the list of endpoints said so.

A failure during a pause does not count. Behind a pause one request goes, and the rest follow at its first token. With every suited engine paused, a request is forwarded to another failure domain; if no peer took it, it waits here.

Limit: an engine that answers and then fails in every answer is paused for the shortest time only.

Ruled out: counting only whole answers as work, because one long answer would hold an endpoint at a single request for its whole length.

--- a/entry/answer/place.go
+++ b/entry/answer/place.go
@@ -88,6 +88,18 @@
 	return x.refusal(http.StatusServiceUnavailable, "no engine was free in time")
 }
 
+// forward passes a request on to a domain that can serve it if this one has no engine for it or all of them are paused. It
+// tells whether the request is served; one that no peer took may wait here for a pause to end.
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, v *visit.Visit, model wire.ModelName, data []byte) (bool, *problem.Problem) {
+	list := s.directory.View().Model(model)
+	if v.Forwarded || endpoint.Unpaused(list, endpoint.Need{}, s.clock.Now()) {
+		return false, nil
+	}
+	p := s.forwarder.Forward(w, r, v, data)
+	wait := p != nil && p.Outcome == problem.NotRun && endpoint.Suited(list, endpoint.Need{}) > 0
+	return !wait, p
+}
+
 // prompt returns what the choice of an engine knows of the prompt. The text itself is not kept.
 func (q *request) prompt() endpoint.Prompt {
 	text := q.body["prompt"]
--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -150,8 +150,8 @@
 		return p
 	}
 	q.limitOutput(model.MaxOutput)
-	if endpoint.Suited(s.directory.View().Model(model.Name), endpoint.Need{}) == 0 && !v.Forwarded {
-		return s.forwarder.Forward(w, r, v, data)
+	if served, p := s.forward(w, r, v, model.Name, data); served {
+		return p
 	}
 	x := s.newExchange(w, r, v, q)
 	ctx, cancel := context.WithTimeout(r.Context(), s.limits.Whole)
@@ -199,7 +199,6 @@
 		slot.Release()
 		s.queues.Get(string(model.Name)).Wake()
 		if result == nil {
-			slot.Worked()
 			firstToken.Update(x.firstAt.Sub(started).Seconds())
 			return s.finish(ctx, v, model, x)
 		}
--- a/policy/entry.go
+++ b/policy/entry.go
@@ -82,7 +82,7 @@
 
 // accept takes a request in, or passes it on if the domain has no endpoint for it.
 func (n *entry) accept(r *request) {
-	if endpoint.Suited(n.directory.View().Model(model), endpoint.Need{}) == 0 && !r.forwarded {
+	if !endpoint.Unpaused(n.directory.View().Model(model), endpoint.Need{}, n.fleet.line.now()) && !r.forwarded {
 		r.forwarded = true
 		n.fleet.line.after(network, func() { n.peer().accept(r) })
 		return
@@ -174,7 +174,6 @@
 	if lost {
 		n.retry(g)
 	} else {
-		g.slot.Worked()
 		n.finish(g.request, j)
 	}
 	n.wake()
--- a/shared/endpoint/choose.go
+++ b/shared/endpoint/choose.go
@@ -171,6 +171,16 @@
 	return n
 }
 
+// Unpaused tells whether an endpoint that may serve a request is not paused after a failure.
+func Unpaused(list []*Endpoint, need Need, now time.Time) bool {
+	for _, e := range list {
+		if suits(e, need) && !e.paused(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func suits(e *Endpoint, need Need) bool {
 	if !e.usable() {
 		return false
--- a/shared/endpoint/choose_test.go
+++ b/shared/endpoint/choose_test.go
@@ -54,7 +54,7 @@
 			"choose": func(t *rapid.T) {
 				need := Need{Steady: rapid.Bool().Draw(t, "steady"), Prompt: prompt(t)}
 				free := slices.ContainsFunc(list, func(e *Endpoint) bool {
-					return suits(e, need) && !e.paused(now) && e.InFlight() < limit && hasPrefillRoom(e, need.Prompt)
+					return suits(e, need) && !e.paused(now) && e.InFlight() < int(e.room()) && hasPrefillRoom(e, need.Prompt)
 				})
 				s := Choose(list, need, now, rng)
 				if (s != nil) != free {
@@ -73,6 +73,12 @@
 					held[0].Started()
 				}
 			},
+			"fail": func(*rapid.T) {
+				if len(held) > 0 {
+					held[0].Failed(now)
+				}
+			},
+			"later": func(*rapid.T) { now = now.Add(pauseAtFirst) },
 			"release": func(*rapid.T) {
 				if len(held) > 0 {
 					held[0].Release()
@@ -121,6 +127,36 @@
 	})
 }
 
+// TestFailedEndpointIsLeftAloneThenProbed demands that a failed endpoint gets nothing in its pause, then one request, and
+// its share again once that was answered. Requests that failed together count once.
+func TestFailedEndpointIsLeftAloneThenProbed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, list := fleetOf(1, 4)
+		now := time.Unix(0, 0)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for round := range rapid.IntRange(1, 10).Draw(t, "rounds") {
+			for range 3 {
+				list[0].Failed(now)
+			}
+			pause := min(pauseAtFirst<<min(round, maxDoublings), pauseAtMost)
+			if Choose(list, Need{}, now.Add(pause-1), rng) != nil {
+				t.Fatal("it got work in its pause")
+			}
+			now = now.Add(pause)
+			probe := Choose(list, Need{}, now, rng)
+			if probe == nil || Choose(list, Need{}, now, rng) != nil {
+				t.Fatal("it did not get just one request behind its pause")
+			}
+			probe.Release()
+		}
+		probe := Choose(list, Need{}, now, rng)
+		probe.Started()
+		if Choose(list, Need{}, now, rng) == nil {
+			t.Fatal("it got no second request after it had answered")
+		}
+	})
+}
+
 func BenchmarkChoose(b *testing.B) {
 	_, list := fleetOf(12, 16)
 	rng := NewRandom()
--- a/shared/endpoint/endpoint.go
+++ b/shared/endpoint/endpoint.go
@@ -53,7 +53,7 @@
 // cannot be followed by a new one.
 func (e *Endpoint) acquire() bool {
 	n := e.inFlight.Add(1)
-	if n <= e.limit.Load() && e.usable() {
+	if n <= e.room() && e.usable() {
 		return true
 	}
 	e.inFlight.Add(-1)
@@ -67,8 +67,20 @@
 	return waited == 0 || waited+int64(tokens) <= maxPrefill
 }
 
-// Failed notes that the endpoint failed at now and pauses it, longer each time. Its prefix cache counts as lost.
+// room is how many requests may be in flight: one, as a probe, after a failure.
+func (e *Endpoint) room() int64 {
+	if e.failures.Load() > 0 {
+		return 1
+	}
+	return e.limit.Load()
+}
+
+// Failed notes that the endpoint failed at now and pauses it, longer each time. Its prefix cache counts as lost. Requests
+// that fail while it is paused do not make the pause longer: they began before it.
 func (e *Endpoint) Failed(now time.Time) {
+	if e.paused(now) {
+		return
+	}
 	n := min(e.failures.Add(1)-1, maxDoublings)
 	pause := min(pauseAtFirst<<n, pauseAtMost)
 	e.retryAt.Store(now.Add(pause).UnixNano())
--- a/shared/endpoint/slot.go
+++ b/shared/endpoint/slot.go
@@ -26,15 +26,24 @@
 	started atomic.Bool
 }
 
-// Started notes that the endpoint has done the request's prefill.
+// Started notes that the endpoint answered, so that it works and has done the request's prefill.
 func (s *Slot) Started() {
-	if !s.started.Swap(true) {
-		s.Endpoint.prefill.Add(-s.prefill)
+	if s.endPrefill() {
+		s.Worked()
 	}
 }
 
 // Release gives the slot back.
 func (s *Slot) Release() {
-	s.Started()
+	s.endPrefill()
 	s.Endpoint.Release()
 }
+
+// endPrefill takes the prefill off what is waited for, and tells whether it was the first to do so.
+func (s *Slot) endPrefill() bool {
+	if s.started.Swap(true) {
+		return false
+	}
+	s.Endpoint.prefill.Add(-s.prefill)
+	return true
+}
