Refuse a request early when its workspace's own queue cannot serve it in time

Cause: a request behind a long queue of its own workspace waited its whole time and was refused at the end of it. The queue now measures the service that each workspace receives while requests of it wait (fading over 10 s, from 1 s and two grants on). A request whose workspace has more waiting than that rate serves within the limit is refused at once: 503, NotRun, Retry-After from the same rate. A workspace with nothing waiting is never refused so, nor is a further attempt.

Ruled out: the whole queue's rate with the service that is due before a request's turn.

--- a/entry/answer/place.go
+++ b/entry/answer/place.go
@@ -35,8 +35,9 @@
 
 // Refusals by their reason.
 var (
-	refusedFull = metrics.NewCounter(`entry_queue_refusals_total{reason="Full"}`)
-	refusedLate = metrics.NewCounter(`entry_queue_refusals_total{reason="Late"}`)
+	refusedEarly = metrics.NewCounter(`entry_queue_refusals_total{reason="Early"}`)
+	refusedFull  = metrics.NewCounter(`entry_queue_refusals_total{reason="Full"}`)
+	refusedLate  = metrics.NewCounter(`entry_queue_refusals_total{reason="Late"}`)
 )
 
 // placements count the slots taken by their reason.
@@ -54,6 +55,7 @@
 	request := queue.Request{Workspace: v.Workspace.Name, Weight: v.Workspace.Weight}
 	if x.attempt == 0 {
 		request.Estimate = x.guessed(model)
+		request.Within = s.limits.Queue
 	}
 	request.Choose = func() *endpoint.Slot {
 		return s.choose(model.Name, x.prompt, failed)
@@ -84,6 +86,11 @@
 		refusedFull.Inc()
 		return x.refusal(http.StatusTooManyRequests, "%v", err)
 	}
+	var late *queue.LateError
+	if errors.As(err, &late) {
+		refusedEarly.Inc()
+		return x.refusal(http.StatusServiceUnavailable, "%v", late).After(late.RetryAfter())
+	}
 	refusedLate.Inc()
 	return x.refusal(http.StatusServiceUnavailable, "no engine was free in time")
 }
--- a/policy/entry.go
+++ b/policy/entry.go
@@ -76,7 +76,7 @@
 		domain:    domain,
 		rng:       rng,
 		directory: endpoint.NewDirectory(endpoint.WithLimits(func(wire.EndpointKindName) int { return perEndpoint })),
-		queue:     queue.New(queue.WithBounds(queue.Bounds{Total: maxInQueue, PerWorkspace: maxInQueue})),
+		queue:     queue.New(f.line.clock, queue.WithBounds(queue.Bounds{Total: maxInQueue, PerWorkspace: maxInQueue})),
 	}
 }
 
@@ -105,7 +105,11 @@
 	if r.attempts > 0 {
 		estimate = 0
 	}
-	t, err := n.queue.Join(queue.Request{Workspace: name, Estimate: estimate, Choose: func() *endpoint.Slot { return n.choose(r) }})
+	asked := queue.Request{Workspace: name, Estimate: estimate, Choose: func() *endpoint.Slot { return n.choose(r) }}
+	if r.attempts == 0 && !n.fleet.variant.waits {
+		asked.Within = queueLimit
+	}
+	t, err := n.queue.Join(asked)
 	if err != nil {
 		n.refuse(r)
 		return
--- a/policy/measures.go
+++ b/policy/measures.go
@@ -40,8 +40,9 @@
 	first   float64 // 95th percentile, seconds
 	lightly float64 // 95th percentile of the first token of those workspaces, seconds
 	saved   float64 // share of the prompt tokens that the caches saved
+	whole   float64 // requests answered in the run
 	refused float64 // share of the requests
-	waited  float64 // 95th percentile of the wait for a refusal, seconds
+	waited  float64 // mean wait for a refusal, seconds
 }
 
 func summarize(list []outcome, prompt, cached int) measures {
@@ -67,8 +68,9 @@
 		lightly: firstOfLight(list),
 		first:   percentile95(firsts),
 		saved:   float64(cached) / float64(max(prompt, 1)),
+		whole:   float64(len(firsts)),
 		refused: float64(refused) / n,
-		waited:  percentile95(waits),
+		waited:  mean(waits),
 	}
 }
 
@@ -160,3 +162,11 @@
 	}
 	return fair
 }
+
+func mean(list []float64) float64 {
+	total := 0.0
+	for _, x := range list {
+		total += x
+	}
+	return total / float64(max(len(list), 1))
+}
--- a/policy/table.go
+++ b/policy/table.go
@@ -15,7 +15,7 @@
 func newTable(w io.Writer, seeds int) *table {
 	t := &table{w: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
 	fmt.Fprintf(w, "mean and standard deviation over %d seeds\n", seeds)
-	fmt.Fprintln(t.w, "trace\tvariant\tgoodput %\tworst share %\tworst light %\tp95 first s\tlight p95 first s\tsaved %\trefused %\tp95 refusal s")
+	fmt.Fprintln(t.w, "trace\tvariant\tgoodput %\tworst share %\tworst light %\tp95 first s\tlight p95 first s\tsaved %\tanswered\trefused %\trefusal after s")
 	return t
 }
 
@@ -30,13 +30,14 @@
 		{1, func(m measures) float64 { return m.first }},
 		{1, func(m measures) float64 { return m.lightly }},
 		{100, func(m measures) float64 { return m.saved }},
+		{1, func(m measures) float64 { return m.whole }},
 		{100, func(m measures) float64 { return m.refused }},
 		{1, func(m measures) float64 { return m.waited }},
 	}
 	fmt.Fprintf(t.w, "%s\t%s", tr.name, v.name)
 	for _, c := range columns {
-		mean, spread := meanAndSpread(list, c.value)
-		fmt.Fprintf(t.w, "\t%.2f ± %.2f", mean*c.scale, spread*c.scale)
+		middle, spread := meanAndSpread(list, c.value)
+		fmt.Fprintf(t.w, "\t%.2f ± %.2f", middle*c.scale, spread*c.scale)
 	}
 	fmt.Fprintln(t.w)
 }
--- a/policy/trace.go
+++ b/policy/trace.go
@@ -64,6 +64,7 @@
 		{name: "drafts", engines: 12, length: traceLength, shares: fewLarge, rate: steady(0, 6.5)},
 		{name: "swing", engines: 9, length: swingLength, shares: fewLarge, rate: swing(4.8, 4.5)},
 		{name: "greedy", engines: 9, length: traceLength, shares: greedy, rate: steady(7, 0)},
+		{name: "flood", engines: 9, length: traceLength, shares: greedy, rate: steady(12, 0)},
 		{name: "loss", engines: 9, length: traceLength, shares: fewLarge, rate: steady(3.6, 0), lostAt: traceLength / 3, backAt: traceLength * 2 / 3, noticeLag: noticeLag},
 	}
 }
--- a/policy/variant.go
+++ b/policy/variant.go
@@ -13,7 +13,9 @@
 	name string
 	// inOrder serves requests first in, first out.
 	inOrder bool
-	choose  chooser
+	// waits refuses nothing before its time is over.
+	waits  bool
+	choose chooser
 }
 
 // chooser takes a slot for a request, or returns nil.
@@ -21,10 +23,11 @@
 
 func variants() []variant {
 	return []variant{
-		{name: "in order, round robin", inOrder: true, choose: roundRobin},
-		{name: "fair, round robin", choose: roundRobin},
-		{name: "fair, two choices", choose: twoChoices},
-		{name: "in order, current", inOrder: true, choose: current},
+		{name: "in order, round robin", inOrder: true, waits: true, choose: roundRobin},
+		{name: "fair, round robin", waits: true, choose: roundRobin},
+		{name: "fair, two choices", waits: true, choose: twoChoices},
+		{name: "in order, current", inOrder: true, waits: true, choose: current},
+		{name: "current, no early refusal", waits: true, choose: current},
 		{name: "current", choose: current},
 	}
 }
--- a/shared/queue/fair.go
+++ b/shared/queue/fair.go
@@ -3,6 +3,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"cowslipshunt.example/wire"
 )
@@ -15,6 +16,9 @@
 	weight  float64
 	served  Service
 	waiting *list.List
+	// queued is the estimated service of those that wait.
+	queued Service
+	rate   rate
 }
 
 // fair orders waiting requests: next is the oldest request of the workspace with the least service for its weight. A
@@ -44,7 +48,9 @@
 	if fl.waiting.Len() == 0 {
 		fl.served = max(fl.served, f.floor)
 	}
+	fl.rate.pass(t.joined, fl.waiting.Len() > 0)
 	t.place = fl.waiting.PushBack(t)
+	fl.queued += t.request.Estimate
 	f.total++
 }
 
@@ -74,12 +80,23 @@
 	return a.waiting.Front().Value.(*Ticket).number < b.waiting.Front().Value.(*Ticket).number
 }
 
-func (f *fair) remove(t *Ticket) {
+func (f *fair) remove(t *Ticket, now time.Time) {
 	fl := f.flows[t.request.Workspace]
+	fl.rate.pass(now, true)
 	fl.waiting.Remove(t.place)
+	fl.queued -= t.request.Estimate
 	f.total--
 }
 
+// grant removes a request that is served and charges its estimate. One that did not wait tells nothing of the rate.
+func (f *fair) grant(t *Ticket, now time.Time) {
+	f.remove(t, now)
+	f.charge(t.request.Workspace, t.request.Estimate)
+	if now.After(t.joined) {
+		f.flows[t.request.Workspace].rate.grant(t.request.Estimate)
+	}
+}
+
 func (f *fair) charge(name wire.WorkspaceName, amount Service) {
 	fl := f.flow(name)
 	fl.served += amount / Service(fl.weight)
@@ -91,3 +108,14 @@
 	}
 	return 0
 }
+
+// wait estimates how long a new request of a workspace waits: its own requests that wait, at the rate at which it was
+// served while some waited. That rate holds what the others took meanwhile. Nothing ahead is no wait.
+func (f *fair) wait(name wire.WorkspaceName, now time.Time) (time.Duration, bool) {
+	fl, known := f.flows[name]
+	if !known || fl.waiting.Len() == 0 {
+		return 0, false
+	}
+	fl.rate.pass(now, true)
+	return fl.rate.wait(fl.queued)
+}
--- a/shared/queue/queue.go
+++ b/shared/queue/queue.go
@@ -7,6 +7,7 @@
 
 	"cowslipshunt.example/shared/endpoint"
 	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
 )
 
 // Bounds of one queue. A request beyond them is refused at once.
@@ -29,6 +30,7 @@
 	mu     sync.Mutex
 	fair   *fair
 	bounds Bounds
+	clock  clockwork.Clock
 	number uint64
 }
 
@@ -49,8 +51,8 @@
 }
 
 // New returns an empty queue.
-func New(opts ...Option) *Queue {
-	q := &Queue{fair: newFair(), bounds: Bounds{Total: maxWaiting, PerWorkspace: maxWaitingPerWorkspace}}
+func New(clock clockwork.Clock, opts ...Option) *Queue {
+	q := &Queue{fair: newFair(), clock: clock, bounds: Bounds{Total: maxWaiting, PerWorkspace: maxWaitingPerWorkspace}}
 	for _, opt := range opts {
 		opt(q)
 	}
@@ -58,7 +60,8 @@
 }
 
 // Acquire waits until the request's turn comes and its Choose finds a slot. It charges the estimated service at once;
-// Charge corrects it later. It returns ErrFull at the queue's bounds and ctx's error when ctx ends first.
+// Charge corrects it later. It returns ErrFull at the queue's bounds, a LateError if the
+// request would wait too long, and ctx's error when ctx ends first.
 func (q *Queue) Acquire(ctx context.Context, r Request) (*endpoint.Slot, error) {
 	t, err := q.Join(r)
 	if err != nil {
@@ -84,13 +87,28 @@
 	if q.fair.total >= q.bounds.Total || q.fair.waiting(r.Workspace) >= q.bounds.PerWorkspace {
 		return nil, ErrFull
 	}
-	t := &Ticket{request: r, number: q.number, slot: make(chan *endpoint.Slot, 1)}
+	if err := q.late(r); err != nil {
+		return nil, err
+	}
+	t := &Ticket{request: r, number: q.number, joined: q.clock.Now(), slot: make(chan *endpoint.Slot, 1)}
 	q.number++
 	q.fair.push(t)
 	q.serve()
 	return t, nil
 }
 
+// late refuses a request whose turn is expected behind the time that it can wait.
+func (q *Queue) late(r Request) error {
+	if r.Within <= 0 {
+		return nil
+	}
+	wait, known := q.fair.wait(r.Workspace, q.clock.Now())
+	if !known || wait <= r.Within {
+		return nil
+	}
+	return &LateError{Wait: wait, Within: r.Within}
+}
+
 // Leave takes a ticket out. If it got a slot before, that is returned and is the caller's to give back.
 func (q *Queue) Leave(t *Ticket) *endpoint.Slot {
 	q.mu.Lock()
@@ -99,7 +117,7 @@
 	case e := <-t.slot:
 		return e
 	default:
-		q.fair.remove(t)
+		q.fair.remove(t, q.clock.Now())
 		return nil
 	}
 }
@@ -136,8 +154,7 @@
 		if e == nil {
 			return
 		}
-		q.fair.remove(t)
-		q.fair.charge(t.request.Workspace, t.request.Estimate)
+		q.fair.grant(t, q.clock.Now())
 		t.slot <- e
 	}
 }
--- a/shared/queue/queue_test.go
+++ b/shared/queue/queue_test.go
@@ -10,6 +10,7 @@
 	"cowslipshunt.example/shared/endpoint"
 	"cowslipshunt.example/shared/queue"
 	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 )
 
@@ -27,7 +28,7 @@
 func TestGreedyWorkspaceDoesNotLowerOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := directory()
-		q := queue.New()
+		q := queue.New(clockwork.NewFakeClock())
 		rng := rand.New(rand.NewPCG(1, 1))
 		choose := func() *endpoint.Slot {
 			return endpoint.Choose(d.View().Model("m"), endpoint.Need{}, time.Unix(0, 0), rng)
@@ -76,7 +77,7 @@
 }
 
 func TestAbandonedRequestsLeaveNothingBehind(t *testing.T) {
-	q := queue.New()
+	q := queue.New(clockwork.NewFakeClock())
 	none := func() *endpoint.Slot { return nil }
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
--- a/shared/queue/set.go
+++ b/shared/queue/set.go
@@ -13,13 +13,14 @@
 
 // Set holds a queue for each model and service.
 type Set struct {
+	clock  clockwork.Clock
 	mu     sync.Mutex
 	queues map[string]*Queue
 }
 
 // NewSet returns an empty set that wakes its queues until ctx ends.
 func NewSet(ctx context.Context, clock clockwork.Clock) *Set {
-	s := &Set{queues: map[string]*Queue{}}
+	s := &Set{clock: clock, queues: map[string]*Queue{}}
 	go func() {
 		ticker := clock.NewTicker(wakeEvery)
 		defer ticker.Stop()
@@ -41,7 +42,7 @@
 	defer s.mu.Unlock()
 	q, known := s.queues[name]
 	if !known {
-		q = New()
+		q = New(s.clock)
 		s.queues[name] = q
 	}
 	return q
--- a/shared/queue/ticket.go
+++ b/shared/queue/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"cowslipshunt.example/shared/endpoint"
 	"cowslipshunt.example/wire"
@@ -14,6 +15,8 @@
 	Weight int
 	// Estimate is the service that the request is expected to receive.
 	Estimate Service
+	// Within is how long the request can wait; zero is for ever.
+	Within time.Duration
 	// Choose is called under the queue's lock.
 	Choose Choose
 }
@@ -22,6 +25,7 @@
 type Ticket struct {
 	request Request
 	number  uint64
+	joined  time.Time
 	slot    chan *endpoint.Slot
 	place   *list.Element
 }
