--- a/shared/queue/bench_test.go
+++ b/shared/queue/bench_test.go
@@ -9,6 +9,7 @@
 	"cowslipshunt.example/shared/endpoint"
 	"cowslipshunt.example/shared/queue"
 	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
 )
 
 func benchEndpoint(b *testing.B) *endpoint.Endpoint {
@@ -44,7 +45,7 @@
 func BenchmarkAcquire(b *testing.B) {
 	for _, workspaces := range []int{8, 240} {
 		b.Run(fmt.Sprintf("workspaces=%d/waiting=0", workspaces), func(b *testing.B) {
-			q := queue.New()
+			q := queue.New(clockwork.NewRealClock())
 			e := &endpoint.Slot{Endpoint: benchEndpoint(b)}
 			for i := range workspaces {
 				q.Charge(benchName(i), 1)
@@ -66,7 +67,7 @@
 	for _, workspaces := range []int{8, 240} {
 		for _, waiting := range []int{10, 1000} {
 			b.Run(fmt.Sprintf("workspaces=%d/waiting=%d", workspaces, waiting), func(b *testing.B) {
-				q := queue.New()
+				q := queue.New(clockwork.NewRealClock())
 				end := benchWaiting(q, workspaces, waiting)
 				defer end()
 				b.ReportAllocs()
