--- a/shared/lease/keeper_test.go
+++ b/shared/lease/keeper_test.go
@@ -61,6 +61,7 @@
 func newLeaseModel(t *rapid.T) *leaseModel {
 	m := &leaseModel{t: t, table: tabletest.New(), holders: map[wire.Epoch]int{}}
 	m.table.Fault = m.fault
+	m.table.QueryFails = func() bool { return !m.calm && rapid.IntRange(0, 29).Draw(t, "query") == 0 }
 	m.table.Delay = m.delay
 	for range rapid.IntRange(2, 3).Draw(t, "keepers") {
 		m.start()
@@ -174,6 +175,12 @@
 			"run": func(*rapid.T) {
 				m.run(rapid.IntRange(1, 12).Draw(t, "steps"), testTimeout/2)
 			},
+			"take over": func(*rapid.T) {
+				c := m.clocks[m.pick()]
+				c.paused = true
+				m.run(20, testTimeout/4)
+				c.paused = false
+			},
 			"pause": func(*rapid.T) {
 				c := m.clocks[m.pick()]
 				c.paused = true
--- a/shared/tabletest/table.go
+++ b/shared/tabletest/table.go
@@ -34,8 +34,10 @@
 
 // Table is a table service for one goroutine.
 type Table struct {
-	// Fault picks the fault of the next call.
+	// Fault picks the fault of the next transaction.
 	Fault func() Fault
+	// QueryFails tells whether the next read or scan fails.
+	QueryFails func() bool
 	// Delay runs before and after a call takes effect.
 	Delay func()
 
@@ -47,9 +49,10 @@
 // New returns an empty table without faults.
 func New() *Table {
 	return &Table{
-		Fault: func() Fault { return None },
-		Delay: func() {},
-		rows:  map[key]wire.Row{},
+		Fault:      func() Fault { return None },
+		QueryFails: func() bool { return false },
+		Delay:      func() {},
+		rows:       map[key]wire.Row{},
 	}
 }
 
@@ -87,7 +90,7 @@
 }
 
 func (t *Table) queryFault() error {
-	if t.Fault() != None {
+	if t.QueryFails() {
 		return ErrFault
 	}
 	return nil
