--- a/shared/usage/load.go
+++ b/shared/usage/load.go
@@ -39,8 +39,35 @@
 	return nil
 }
 
-// findLatest searches for the last window, a hexadecimal digit of its number with each read, as numbers have no gaps.
+// findLatest reads on from the last window known, or searches for the last one.
 func (w *Windows) findLatest(ctx context.Context) (frozen, error) {
+	if w.latest.row.Window == 0 {
+		return w.search(ctx)
+	}
+	var latest frozen
+	for next := w.latest.row.Window; ; next = latest.row.Window + 1 {
+		found, err := w.read(ctx, next, next+1)
+		if err != nil {
+			return frozen{}, err
+		}
+		latest = last(latest, found)
+		if len(found) < 2 {
+			return latest, nil
+		}
+	}
+}
+
+func last(latest frozen, list []frozen) frozen {
+	for _, f := range list {
+		if f.row.Window > latest.row.Window {
+			latest = f
+		}
+	}
+	return latest
+}
+
+// search finds the last window, a hexadecimal digit of its number with each read, as numbers have no gaps.
+func (w *Windows) search(ctx context.Context) (frozen, error) {
 	var latest frozen
 	for shift := maxWindowBits - digitBits; shift >= 0; shift -= digitBits {
 		var numbers []int
@@ -51,11 +78,7 @@
 		if err != nil {
 			return frozen{}, err
 		}
-		for _, f := range found {
-			if f.row.Window > latest.row.Window {
-				latest = f
-			}
-		}
+		latest = last(latest, found)
 	}
 	return latest, nil
 }
