--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/finding"
 	"cowslipshunt.example/shared/setting"
 	"cowslipshunt.example/wire"
@@ -27,11 +28,15 @@
 	// Platform is the platform's address.
 	Platform string
 
-	Peer     []peerSettings
-	Operator []operatorSettings
+	// PeerSecret is what all instances of the deployment share; the peers' address serves nobody without it.
+	PeerSecret channel.Secret
+	Peer       []peerSettings
+	Operator   []operatorSettings
 
 	// MaxRequests bounds the requests inside; zero is 4096.
 	MaxRequests int
+	// BodyMillis bounds the wait for a request's body.
+	BodyMillis int
 	// QueueMillis bounds a request's wait for an endpoint.
 	QueueMillis int
 	// StallMillis bounds the time between two events of an engine, and the wait for an answer's first byte.
@@ -64,6 +69,7 @@
 // Defaults of settings that are zero.
 const (
 	defaultMaxRequests        = 4096
+	defaultBodyMillis         = 10_000
 	defaultQueueMillis        = 10_000
 	defaultStallMillis        = 10_000
 	defaultWholeMillis        = 600_000
@@ -85,6 +91,7 @@
 	c.Address("PeerAddress", s.PeerAddress)
 	c.Address("OperationsAddress", s.OperationsAddress)
 	c.Address("Platform", s.Platform)
+	c.Secret("PeerSecret", string(s.PeerSecret), channel.MinSecretBytes)
 	for i, peer := range s.Peer {
 		c.Required(fmt.Sprintf("Peer[%d].Instance", i), string(peer.Instance))
 		c.Required(fmt.Sprintf("Peer[%d].Domain", i), string(peer.Domain))
@@ -110,6 +117,7 @@
 		otherwise int
 	}{
 		{"MaxRequests", &s.MaxRequests, defaultMaxRequests},
+		{"BodyMillis", &s.BodyMillis, defaultBodyMillis},
 		{"QueueMillis", &s.QueueMillis, defaultQueueMillis},
 		{"StallMillis", &s.StallMillis, defaultStallMillis},
 		{"WholeMillis", &s.WholeMillis, defaultWholeMillis},
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -25,6 +25,7 @@
 	testKey       = "csh_proof-key-of-bluegum"
 	otherKey      = "csh_proof-key-of-lustre"
 	operatorToken = "proof-operator-token"
+	peerSecret    = "proof-secret-of-peers"
 )
 
 // plan says what a system consists of.
@@ -33,6 +34,8 @@
 	entries  int
 	engines  int
 	services int
+	// spare is how many of a domain's engines the document does not order.
+	spare int
 	// engineSettings is added to each engine's settings.
 	engineSettings string
 	// entrySettings is added to each entry's settings, ahead of tables.
@@ -129,7 +132,7 @@
 					ready++
 				}
 			}
-			return ready == s.plan.engines+s.plan.services
+			return ready == s.plan.engines-s.plan.spare+s.plan.services
 		})
 	}
 }
@@ -173,7 +176,7 @@
 	fmt.Fprintf(&b, "Instance = %q\nDomain = %q\nLogLevel = \"debug\"\n", m.name, m.domain)
 	fmt.Fprintf(&b, "Address = %q\nOperatorAddress = %q\n", m.address, m.operator)
 	fmt.Fprintf(&b, "PeerAddress = %q\nOperationsAddress = %q\n", m.peerProxy.target, m.operations)
-	fmt.Fprintf(&b, "Platform = %q\n%s", m.platformProxy.address, s.plan.entrySettings)
+	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\n%s", m.platformProxy.address, peerSecret, s.plan.entrySettings)
 	fmt.Fprintf(&b, "[[Operator]]\nName = \"board\"\nTokenDigest = %q\n", document.KeyDigest(operatorToken))
 	for _, other := range s.members {
 		if other != m {
@@ -186,7 +189,7 @@
 func (s *system) controllerSettings(m *member) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "Instance = %q\nDomain = %q\nAddress = %q\nLogLevel = \"debug\"\n", "controller-"+m.name, m.domain, m.status)
-	fmt.Fprintf(&b, "Platform = %q\n%s", m.platformProxy.address, s.plan.controllerSettings)
+	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\n%s", m.platformProxy.address, peerSecret, s.plan.controllerSettings)
 	for _, other := range s.members {
 		if other.domain == m.domain {
 			fmt.Fprintf(&b, "[[Entry]]\nInstance = %q\nAddress = %q\n", other.name, other.peerProxy.address)
@@ -216,7 +219,7 @@
 	}
 	for _, domain := range s.plan.domains {
 		d.Fleet = append(d.Fleet,
-			document.Fleet{Domain: wire.DomainName(domain), Kind: "drafting", Count: s.plan.engines},
+			document.Fleet{Domain: wire.DomainName(domain), Kind: "drafting", Count: s.plan.engines - s.plan.spare},
 			document.Fleet{Domain: wire.DomainName(domain), Kind: "booking", Count: s.plan.services})
 	}
 	return d
