Bill a forwarded keyed booking once, and each answer before it can be had

Cause, three faults of billing: - A keyed booking that another failure domain ran was billed there and once more by the entry that forwarded it. Now only the entry that runs a request bills it. - A keyed booking was billed after its answer was in the table. A kill between the two let a repeat get the stored answer, unbilled. It is billed first now, and also if its caller left. - A caller who left a plain answer was billed for tokens that it never got. And one whom a failed write showed to have left was billed for none. Beside it: a forwarded keyed booking goes on when its caller leaves, and its claim gets its last state if the answer is cut. The gauges entry_usage_orphans and entry_usage_unstored_requests tell what the table lacks.

Not tested: the bill when a failed write is what shows that a caller left.

--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -195,7 +195,7 @@
 	for {
 		slot, err := s.slot(ctx, v, model, x, failed)
 		if err != nil {
-			return s.give(ctx, v, model, x, s.queueRefusal(x, err))
+			return s.give(ctx, v, model, x, s.queueRefusal(x, err), false)
 		}
 		result := x.try(ctx, s.engines, slot, s.clock, s.limits.Stall)
 		slot.Release()
@@ -206,7 +206,7 @@
 			return s.finish(ctx, v, model, x)
 		}
 		if stop := s.failed(ctx, v, x, slot, result); stop != nil {
-			return s.give(ctx, v, model, x, stop)
+			return s.give(ctx, v, model, x, stop, result.Caller)
 		}
 		failed = append(failed, slot.State().Endpoint)
 	}
@@ -261,9 +261,9 @@
 // give ends an answer that cannot be made whole. If the caller has got some of it, its connection is aborted, so that the
 // answer cannot be taken for a whole one. A caller who left is billed for what it got; a caller whom the system failed is
 // not billed.
-func (s *Server) give(ctx context.Context, v *visit.Visit, model document.Model, x *exchange, p *problem.Problem) *problem.Problem {
-	gone := errors.Is(context.Cause(ctx), context.Canceled)
-	if gone && len(x.delivered) > 0 {
+func (s *Server) give(ctx context.Context, v *visit.Visit, model document.Model, x *exchange, p *problem.Problem, left bool) *problem.Problem {
+	gone := left || errors.Is(context.Cause(ctx), context.Canceled)
+	if gone && x.sink.begun() {
 		x.usage.Completion = wire.TokenCount(len(x.delivered))
 		s.bill(context.WithoutCancel(ctx), v, model, x)
 	}
--- a/entry/billing/recorder.go
+++ b/entry/billing/recorder.go
@@ -35,6 +35,10 @@
 var (
 	heldInTime = metrics.NewCounter(`entry_usage_held_total{outcome="held"}`)
 	notHeld    = metrics.NewCounter(`entry_usage_held_total{outcome="late"}`)
+	// orphans counts the incarnations out of reach whose totals are held here and not in the table yet.
+	orphans = metrics.NewGauge("entry_usage_orphans", nil)
+	// unstored counts the changes of this incarnation's totals that the table has not got yet.
+	unstored = metrics.NewGauge("entry_usage_unstored_requests", nil)
 )
 
 // Links are the control links to peers.
--- a/entry/billing/rows.go
+++ b/entry/billing/rows.go
@@ -75,17 +75,25 @@
 	}
 	ok, err := r.store.write(ctx, r.self.Instance, totals, closed)
 	if err != nil || !ok {
+		r.noteUnstored()
 		r.logger.Warn().Err(err).Int("Sequence", totals.Sequence).Msg("usage is not in the table yet")
 		return false
 	}
 	r.mu.Lock()
 	r.stored = totals.Sequence
 	r.mu.Unlock()
+	r.noteUnstored()
 	r.secured(totals.Sequence)
 	_ = channel.Send(r.links, "", TopicStored, wire.UsageStored{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
 	return true
 }
 
+func (r *Recorder) noteUnstored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	unstored.Set(float64(r.meter.Sequence() - r.stored))
+}
+
 // flush writes this incarnation's totals for the last time and all that is held for peers out of reach. It tells whether
 // nothing is left: a request that ended meanwhile raised the totals again.
 func (r *Recorder) flush(ctx context.Context) bool {
@@ -96,39 +104,30 @@
 	return own && rescued && r.stored == r.meter.Sequence()
 }
 
-// rescue writes the totals of peers that have been out of reach for that long, and tells whether the table took them.
+// rescue writes the totals of peers that have been out of reach for that long, and tells whether none are left.
 func (r *Recorder) rescue(ctx context.Context, absence time.Duration) bool {
 	linked := map[wire.InstanceName]wire.IncarnationId{}
 	for _, hello := range r.links.Links() {
 		linked[hello.Instance] = hello.Incarnation
 	}
-	written := true
+	left := 0
 	for _, name := range r.held.Instances() {
-		incarnation, present := linked[name]
-		if present {
+		if _, present := linked[name]; present {
 			delete(r.absent, name)
-			written = r.rescueBut(ctx, name, incarnation) && written
-			continue
-		}
-		if _, noted := r.absent[name]; !noted {
+		} else if _, noted := r.absent[name]; !noted {
 			r.absent[name] = r.clock.Now()
 		}
-		if r.clock.Since(r.absent[name]) >= absence {
-			written = r.rescueBut(ctx, name, "") && written
-		}
-	}
-	return written
-}
-
-// rescueBut writes the totals of a peer's incarnations, but for the one that still runs.
-func (r *Recorder) rescueBut(ctx context.Context, name wire.InstanceName, running wire.IncarnationId) bool {
-	written := true
-	for _, totals := range r.held.Of(name) {
-		if totals.Incarnation != running {
-			written = r.rescueOne(ctx, name, totals) && written
+		for _, totals := range r.held.Of(name) {
+			if totals.Incarnation == linked[name] {
+				continue
+			}
+			if r.clock.Since(r.absent[name]) < absence || !r.rescueOne(ctx, name, totals) {
+				left++
+			}
 		}
 	}
-	return written
+	orphans.Set(float64(left))
+	return left == 0
 }
 
 func (r *Recorder) rescueOne(ctx context.Context, name wire.InstanceName, totals wire.UsageTotals) bool {
--- a/entry/service/claimed.go
+++ b/entry/service/claimed.go
@@ -45,7 +45,6 @@
 		return p
 	}
 	s.store(c, claim, answer)
-	s.record(c)
 	write(w, answer)
 	passed.Inc()
 	return nil
@@ -90,11 +89,21 @@
 	return problem.New(http.StatusServiceUnavailable, problem.Unknown, "the table cannot tell whether the request ran before").After(retryAfter)
 }
 
-// fetch gets the whole answer of a claimed request, from an endpoint here or by a peer elsewhere.
+// fetch gets the whole answer of a claimed request, from an endpoint here or by a peer elsewhere. It bills the request
+// before anybody can have the answer, also if the caller left: a repeat gets the stored answer and is not billed. A peer
+// bills what it ran itself.
 func (s *Server) fetch(c *call) (booking.Answer, *problem.Problem) {
 	if s.elsewhere(c) {
 		return s.fetchElsewhere(c)
 	}
+	answer, p := s.fetchHere(c)
+	if p == nil {
+		s.record(context.WithoutCancel(c.r.Context()), c)
+	}
+	return answer, p
+}
+
+func (s *Server) fetchHere(c *call) (booking.Answer, *problem.Problem) {
 	answer, e, p := s.send(c)
 	if p != nil {
 		return booking.Answer{}, p
@@ -111,7 +120,7 @@
 
 func (s *Server) fetchElsewhere(c *call) (booking.Answer, *problem.Problem) {
 	w := &memory{header: http.Header{}, status: http.StatusOK}
-	if p := s.forwarder.Forward(w, c.r, c.visit, c.body); p != nil {
+	if p := s.forwardWhole(w, c); p != nil {
 		return booking.Answer{}, p
 	}
 	if outcome := w.header.Get(caller.HeaderOutcome); outcome != "" {
@@ -123,6 +132,20 @@
 	return newAnswer(w.status, w.header, w.body.Bytes()), nil
 }
 
+// forwardWhole forwards a request and turns an answer that is cut into a refusal, so that its claim gets its last state.
+func (s *Server) forwardWhole(w http.ResponseWriter, c *call) (p *problem.Problem) {
+	defer func() {
+		switch cause := recover(); cause {
+		case nil:
+		case http.ErrAbortHandler:
+			p = problem.New(http.StatusBadGateway, problem.Unknown, "the answer from another failure domain was cut")
+		default:
+			panic(cause)
+		}
+	}()
+	return s.forwarder.Forward(w, c.r.WithContext(c.ctx), c.visit, c.body)
+}
+
 func newAnswer(status int, header http.Header, body []byte) booking.Answer {
 	a := booking.Answer{Status: status, Header: []wire.HeaderField{}, Body: body}
 	for name, values := range caller.CleanHeader(header, "") {
--- a/entry/service/server.go
+++ b/entry/service/server.go
@@ -225,7 +225,7 @@
 	defer s.wake(c)
 	defer e.Release()
 	defer answer.Body.Close()
-	s.record(c)
+	s.record(c.r.Context(), c)
 	s.copy(w, c, answer)
 	return nil
 }
@@ -239,11 +239,11 @@
 	return endpoint.Need{Steady: !c.route.Repeatable}
 }
 
-func (s *Server) record(c *call) {
+func (s *Server) record(ctx context.Context, c *call) {
 	if c.visit.Workspace.Name == "" {
 		return
 	}
-	s.recorder.Record(c.r.Context(), wire.UsageFigure{
+	s.recorder.Record(ctx, wire.UsageFigure{
 		Workspace: c.visit.Workspace.Name,
 		Model:     wire.ModelName(c.service),
 		Requests:  1,
