Prove that domains cut off go on serving, and catch up when they heal

Three domains with two entries, two controllers, two engines and a service each; all cut for 5 s, longer than every timeout and the links' heartbeat. The harness gets a proxy for each pair of a domain and an entry of another, and a mode that refuses connections.

Not proved: packets dropped at a dial (a unit test of the forwarder has it), cuts of one way only, more than 5 s.

--- a/proof/proxy_test.go
+++ b/proof/proxy_test.go
@@ -19,14 +19,20 @@
 	cut
 	// blackHole keeps connections open and carries nothing.
 	blackHole
+	// refuse resets new connections, so that their callers know that nothing was sent, and ends those that are open.
+	refuse
 	// loseAnswers carries what the client sends and drops what comes back, then ends the connection.
 	loseAnswers
 )
 
+// listenTries bounds how often a proxy asks for another address when a run beside this one took its own.
+const listenTries = 5
+
 // proxy is a small fault-injecting TCP proxy.
 type proxy struct {
 	address string
 	target  string
+	port    *net.TCPListener
 	mode    atomic.Int32
 	delay   atomic.Int64
 	mu      sync.Mutex
@@ -37,10 +43,16 @@
 func newProxy(t testing.TB, target string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", freeAddress(t))
+	for range listenTries {
+		if err == nil {
+			break
+		}
+		l, err = net.Listen("tcp", freeAddress(t))
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{address: l.Addr().String(), target: target, open: map[net.Conn]bool{}}
+	p := &proxy{address: l.Addr().String(), target: target, port: l.(*net.TCPListener), open: map[net.Conn]bool{}}
 	go p.accept(l)
 	t.Cleanup(func() {
 		l.Close()
@@ -49,10 +61,13 @@
 	return p
 }
 
-// set changes what the proxy does; a cut ends what is open.
+// set changes what the proxy does; a cut and a refusal end what is open.
 func (p *proxy) set(m mode) {
-	p.mode.Store(int32(m))
-	if m != cut {
+	before := mode(p.mode.Swap(int32(m)))
+	if before != m && (m == refuse || before == refuse) {
+		p.listen(m != refuse)
+	}
+	if m != cut && m != refuse {
 		return
 	}
 	p.mu.Lock()
@@ -140,7 +155,7 @@
 	switch {
 	case p.is(blackHole):
 		return true
-	case p.is(cut), p.is(loseAnswers) && back:
+	case p.is(cut), p.is(refuse), p.is(loseAnswers) && back:
 		return false
 	}
 	_, err := to.Write(data)
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -60,8 +60,10 @@
 	status        string
 	peerProxy     *proxy
 	platformProxy *proxy
-	entry         *running
-	controller    *running
+	// ways are where each other domain reaches the entry's peer address.
+	ways       ways
+	entry      *running
+	controller *running
 }
 
 // backend is one endpoint.
@@ -159,7 +161,7 @@
 }
 
 func (s *system) newMember(domain string, i int) *member {
-	return &member{
+	m := &member{
 		name:          fmt.Sprintf("entry-%s%d", domain, i),
 		domain:        domain,
 		address:       freeAddress(s.t),
@@ -169,6 +171,8 @@
 		peerProxy:     newProxy(s.t, freeAddress(s.t)),
 		platformProxy: newProxy(s.t, s.platform),
 	}
+	m.ways = newWays(s.t, m.peerProxy, domain, s.plan.domains)
+	return m
 }
 
 func (s *system) entrySettings(m *member) string {
@@ -180,7 +184,7 @@
 	fmt.Fprintf(&b, "[[Operator]]\nName = \"board\"\nTokenDigest = %q\n", document.KeyDigest(operatorToken))
 	for _, other := range s.members {
 		if other != m {
-			fmt.Fprintf(&b, "[[Peer]]\nInstance = %q\nDomain = %q\nAddress = %q\n", other.name, other.domain, other.peerProxy.address)
+			fmt.Fprintf(&b, "[[Peer]]\nInstance = %q\nDomain = %q\nAddress = %q\n", other.name, other.domain, other.ways.from(m.domain).address)
 		}
 	}
 	return b.String()
