--- a/controller/domain/bench_test.go
+++ b/controller/domain/bench_test.go
@@ -1,10 +1,10 @@
 package domain
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +15,15 @@
 	"cowslipshunt.example/wire"
 )
 
+// headBytes counts the bytes of a request's head as its client wrote it.
+func headBytes(r *http.Request) int64 {
+	head := &bytes.Buffer{}
+	fmt.Fprintf(head, "%s %s %s\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Proto, r.Host)
+	_ = r.Header.Write(head)
+	head.WriteString("\r\n")
+	return int64(head.Len())
+}
+
 // benchEngines runs an engine's state interface on an address of its own for each endpoint.
 func benchEngines(b *testing.B, n int, asked *atomic.Int64) []wire.EndpointRecord {
 	b.Helper()
@@ -23,8 +32,7 @@
 		id := wire.EndpointId(fmt.Sprintf("domain-1-engine-%04d", i))
 		state := wire.EngineState{Endpoint: id, Epoch: 12, ChecksFencing: true, Model: "model-07", ModelVersion: "v1", Role: wire.EngineRoleMixed, LastOrder: "0b0f6d0e-8a35-4d6a-9a4e-7f0c2b1d3e4f", LastOrderDone: true}
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			head, _ := httputil.DumpRequest(r, false)
-			asked.Store(int64(len(head)))
+			asked.Store(headBytes(r))
 			standin.WriteJSON(w, http.StatusOK, state)
 		}))
 		b.Cleanup(server.Close)
