--- a/entry/billing/recorder.go
+++ b/entry/billing/recorder.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +69,8 @@
 	// peer holds this incarnation's totals up to peerAt. A peer that started anew holds nothing.
 	peer   wire.Hello
 	peerAt int
+	// sent names the peers that were sent totals which the table may not have yet.
+	sent   map[wire.InstanceName]bool
 	absent map[wire.InstanceName]time.Time
 }
 
@@ -91,6 +95,7 @@
 		logger: logger,
 		kick:   make(chan struct{}, 1),
 		waits:  map[chan struct{}]int{},
+		sent:   map[wire.InstanceName]bool{},
 		absent: map[wire.InstanceName]time.Time{},
 	}
 }
@@ -174,6 +179,9 @@
 	if peer == "" || from >= r.meter.Sequence() {
 		return
 	}
+	r.mu.Lock()
+	r.sent[peer] = true
+	r.mu.Unlock()
 	if err := channel.Send(r.links, peer, TopicTotals, r.meter.Since(from)); err != nil {
 		r.logger.Debug().Err(err).Str("Peer", string(peer)).Msg("cannot send usage")
 	}
@@ -205,6 +213,24 @@
 	return next.Instance, r.peerAt
 }
 
+// tellHolders tells the peers that were sent totals that the table has them. A peer that cannot be told now is told the
+// next time.
+func (r *Recorder) tellHolders(stored wire.UsageStored) {
+	r.mu.Lock()
+	holders := slices.Collect(maps.Keys(r.sent))
+	r.mu.Unlock()
+	for _, name := range holders {
+		if channel.Send(r.links, name, TopicStored, stored) != nil {
+			continue
+		}
+		r.mu.Lock()
+		if name != r.peer.Instance {
+			delete(r.sent, name)
+		}
+		r.mu.Unlock()
+	}
+}
+
 func (r *Recorder) takeTotals(_ context.Context, from wire.InstanceName, totals wire.UsageTotals) error {
 	if !r.held.Take(from, totals) {
 		return nil
--- a/entry/billing/recorder_test.go
+++ b/entry/billing/recorder_test.go
@@ -280,3 +280,32 @@
 	}()
 	return ctx
 }
+
+// TestOnlyHoldersHearWhatIsStored counts who is told that the table has the totals: a peer that was never sent any has
+// nothing to drop.
+func TestOnlyHoldersHearWhatIsStored(t *testing.T) {
+	f := newFleet("a", "b", "c", "d")
+	a := f.members["a"]
+	a.record("bluegum")
+	a.recorder.sendToPeer()
+	f.posts = nil
+	if !a.recorder.storeOwn(t.Context(), false) {
+		t.Fatal("the table did not take the totals")
+	}
+	if len(f.posts) != 1 || f.posts[0].to.Instance != "b" || f.posts[0].topic != TopicStored {
+		t.Errorf("%d instances were told, want b alone", len(f.posts))
+	}
+	f.members["b"] = nil
+	a.record("bluegum")
+	a.recorder.sendToPeer()
+	f.start("b")
+	f.posts = nil
+	a.recorder.storeOwn(t.Context(), false)
+	told := map[wire.InstanceName]bool{}
+	for _, p := range f.posts {
+		told[p.to.Instance] = true
+	}
+	if len(told) != 2 || !told["b"] || !told["c"] {
+		t.Errorf("told %v, want the old holder b and the new one c", told)
+	}
+}
--- a/entry/billing/rows.go
+++ b/entry/billing/rows.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/usage"
 	"cowslipshunt.example/wire"
 )
@@ -84,7 +83,7 @@
 	r.mu.Unlock()
 	r.noteUnstored()
 	r.secured(totals.Sequence)
-	_ = channel.Send(r.links, "", TopicStored, wire.UsageStored{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
+	r.tellHolders(wire.UsageStored{Incarnation: totals.Incarnation, Sequence: totals.Sequence})
 	return true
 }
 
--- a/proof/endpoint_test.go
+++ b/proof/endpoint_test.go
@@ -41,15 +41,31 @@
 	return last
 }
 
-// TestLeavingEndpointIsReplaced lets the platform announce that an engine leaves, under load, and then takes it away.
-func TestLeavingEndpointIsReplaced(t *testing.T) {
+// startWithSpare starts a system under load with one engine more than the document orders, and returns one that has work.
+func startWithSpare(t *testing.T) (*system, *load, *backend) {
+	t.Helper()
 	p := whole()
 	p.engines, p.spare = 3, 1
 	s := newSystem(t, p)
 	s.serveFully()
 	l := startLoad(s, 6)
-	leaving := s.serving()[0]
-	eventually(t, "it has work", func() bool { return leaving.requests() > 0 })
+	busy := s.serving()[0]
+	eventually(t, "it has work", func() bool { return busy.requests() > 0 })
+	return s, l, busy
+}
+
+// waitForSpare waits until two engines are listed and both have had work.
+func waitForSpare(t *testing.T, s *system) {
+	t.Helper()
+	eventually(t, "another engine took its place", func() bool {
+		now := s.serving()
+		return len(now) == 2 && now[0].requests() > 0 && now[1].requests() > 0
+	})
+}
+
+// TestLeavingEndpointIsReplaced lets the platform announce that an engine leaves, under load, and then takes it away.
+func TestLeavingEndpointIsReplaced(t *testing.T) {
+	s, l, leaving := startWithSpare(t)
 	announced := time.Now()
 	s.post(s.platform, "/endpoints/leaving", wire.EndpointRef{Endpoint: wire.EndpointId(leaving.id)})
 	last := lastNewWork(t, leaving, newWorkWithin)
@@ -58,10 +74,7 @@
 		t.Errorf("it got work for %v", last.Sub(announced))
 	}
 	leaving.process.kill()
-	eventually(t, "another engine took its place", func() bool {
-		now := s.serving()
-		return len(now) == 2 && now[0].requests() > 0 && now[1].requests() > 0
-	})
+	waitForSpare(t, s)
 	l.finish(t, 20)
 	s.checkOrders(t)
 }
@@ -69,18 +82,9 @@
 // TestVanishedEndpointIsLeftAlone kills an engine that nobody announced: the answers stay whole, and the others take the
 // work.
 func TestVanishedEndpointIsLeftAlone(t *testing.T) {
-	p := whole()
-	p.engines, p.spare = 3, 1
-	s := newSystem(t, p)
-	s.serveFully()
-	l := startLoad(s, 6)
-	gone := s.serving()[0]
-	eventually(t, "it has work", func() bool { return gone.requests() > 0 })
+	s, l, gone := startWithSpare(t)
 	gone.process.kill()
 	s.post(s.platform, "/endpoints/vanish", wire.EndpointRef{Endpoint: wire.EndpointId(gone.id)})
-	eventually(t, "another engine took its place", func() bool {
-		now := s.serving()
-		return len(now) == 2 && now[0].requests() > 0 && now[1].requests() > 0
-	})
+	waitForSpare(t, s)
 	l.finish(t, 20)
 }
