Say that MaxCostPerHour is not enforced yet

Cause: the document's page read as if the limit held; no entry looks at it. Ruled out: refusing documents that set it, which would break those in use once it is enforced; a limit in this commit, which no test would have seen fail first. Conclusion: an operator who reads the page knows.

--- a/shared/document/document.go
+++ b/shared/document/document.go
@@ -75,7 +75,7 @@
 	Weight int `toml:",omitempty"`
 	// MaxConcurrent bounds requests in flight at one entry; zero is the default.
 	MaxConcurrent int `toml:",omitempty"`
-	// MaxCostPerHour bounds the cost in any clock hour; zero is unbounded.
+	// MaxCostPerHour is to bound the cost in any clock hour; zero is unbounded. Nothing enforces it yet.
 	MaxCostPerHour wire.CostMicros `toml:",omitempty"`
 	// KeyValidSeconds is how long keys stay valid where no accepted version can be confirmed; zero is for ever.
 	KeyValidSeconds int   `toml:",omitempty"`
