Pass answers' bodies on with one piece of code

Cause: the forwarder and the plain services each held the same copying loop. Ruled out: io.Copy, which does not flush as the body comes and does not tell a caller who left from a body that was cut. Conclusion: caller.Stream serves both.

--- a/entry/peer/forwarder.go
+++ b/entry/peer/forwarder.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,7 +21,6 @@
 const PathForward = "/forward"
 
 const (
-	copyBuffer = 32 << 10
 	retryAfter = 2 * time.Second
 )
 
@@ -179,21 +176,7 @@
 		w.Header()[name] = values
 	}
 	w.WriteHeader(answer.StatusCode)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBuffer)
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil {
-				panic(http.ErrAbortHandler)
-			}
-			_ = control.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	if caller.Stream(w, answer.Body) != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/service/send.go
+++ b/entry/service/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -14,9 +13,6 @@
 	"cowslipshunt.example/wire"
 )
 
-// copyBuffer is the size of one read of an answer's body, in bytes.
-const copyBuffer = 32 << 10
-
 // oneRequest is what a request to a plain service weighs in a queue.
 const oneRequest queue.Service = 1
 
@@ -135,27 +131,16 @@
 // for a whole one.
 func (s *Server) copy(w http.ResponseWriter, c *call, answer *http.Response) {
 	copyHead(w, answer)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, copyBuffer)
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			if _, werr := w.Write(buffer[:n]); werr != nil {
-				cut.Inc()
-				panic(http.ErrAbortHandler)
-			}
-			_ = control.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			passed.Inc()
-			return
-		}
-		if err != nil {
-			cut.Inc()
-			c.visit.Log.Warn().Err(err).Msg("answer cut")
-			panic(http.ErrAbortHandler)
-		}
+	err := caller.Stream(w, answer.Body)
+	if err == nil {
+		passed.Inc()
+		return
+	}
+	cut.Inc()
+	if !errors.Is(err, caller.ErrGone) {
+		c.visit.Log.Warn().Err(err).Msg("answer cut")
 	}
+	panic(http.ErrAbortHandler)
 }
 
 func copyHead(w http.ResponseWriter, answer *http.Response) {
