Serve callers on the users' platform: the whole path with its duties

Cause: nothing of the product spoke to the platform. New are three modules: serving (decisions, no network), platform (the adapter, with wire types generated from a schema) and router (the program). One process for each machine follows the configuration and the replicas in the store, runs any request as bytes, has long prompts read apart, meters usage, and under one lease reports it, orders endpoints and changes stages.

Ruled out: net/http's transport towards replicas (it repeats requests on dead connections, and cannot read on after the answer to another request), a second process for the duties (a machine's memory is priced), watching the lease by a feed.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 SHELL := /bin/bash
-MODULES := wire shared entry controller cowslipshunt standin/platform standin/engine standin/service proof policy
+MODULES := wire shared serving platform router entry controller cowslipshunt standin/platform standin/engine standin/service proof policy
 PACKAGES := $(MODULES:%=./%/...)
 BIN := bin
-PROGRAMS := entry controller cowslipshunt standin/platform standin/engine standin/service
+PROGRAMS := entry controller cowslipshunt router standin/platform standin/engine standin/service
 
 # Packages with stateful fuzzing take a fixed seed; the others know no such flags.
 FUZZED := $(sort $(patsubst %/,./%,$(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' $(MODULES)))))
@@ -72,6 +72,7 @@
 
 generate:
 	go tool go-jsonschema -p wire --only-models --tags json -o wire/wire.go wire/schema/wire.json
+	go tool go-jsonschema -p wire --only-models --tags json -o platform/wire/wire.go platform/wire/schema/platform.json
 
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/router/cmd_serve.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"os"
+
+	"cowslipshunt.example/platform"
+	"cowslipshunt.example/shared/command"
+	"github.com/spf13/cobra"
+)
+
+// options are the flags of the serve command.
+type options struct {
+	Metrics  string
+	LogLevel string
+}
+
+func newServeCommand() *cobra.Command {
+	var o options
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "serve callers until a signal",
+		Long: "serve reads the settings file that the environment variable " + platform.SettingsVariable +
+			" names, and serves callers until a signal.",
+		Args: command.Input(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), settings, o, newLogger(cmd.OutOrStdout(), o.LogLevel, settings.Instance))
+		},
+	}
+	cmd.Flags().StringVar(&o.Metrics, "metrics", "", "serve metrics at `PORT` of the instance's address; empty serves none")
+	cmd.Flags().StringVar(&o.LogLevel, "log-level", "info", "log level: debug, info, warn or error")
+	return cmd
+}
--- /dev/null
+++ b/router/serve.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/serving/relay"
+	"cowslipshunt.example/serving/roster"
+	"cowslipshunt.example/serving/truetime"
+	"cowslipshunt.example/shared/link"
+	"cowslipshunt.example/shared/process"
+	"cowslipshunt.example/wire"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/phuslu/log"
+)
+
+// Times of a stop.
+const (
+	// leaveTime is how long new connections still come after the instance is no longer ready: the platform asks once a second
+	// and believes the second miss.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 500 * time.Millisecond
+)
+
+// tidyEvery is how often idle connections and lapsed endpoints are looked at.
+const tidyEvery = 500 * time.Millisecond
+
+// expectedInstances divides the slack of the retry budget until the number of instances is known.
+const expectedInstances = 12
+
+// serve runs an instance until ctx ends.
+func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
+	signal.Ignore(syscall.SIGPIPE)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	clock := clockwork.NewRealClock()
+	directory := roster.NewDirectory()
+	agreed := truetime.New(bootClock{}.Monotonic, time.Now)
+	store := platform.NewStore(s.StoreAddress, agreed.Observe)
+	pool := link.NewPool[roster.Key](clock, link.Dial)
+	courier := platform.NewCourier(pool, clock)
+	counter := metering.NewCounter(s.Bounds.UsageWindow, agreed.Now)
+	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack / expectedInstances}
+	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds)
+
+	work, stopWork := context.WithCancel(process.Hard(ctx))
+	defer stopWork()
+	go followConfiguration(store, r, logger).run(work)
+	go followReplicas(store, directory, logger).run(work)
+	incarnation := wire.IncarnationId(uuid.NewString())
+	go writeUsage(work, store, agreed, counter, incarnation, logger)
+	x := newDuties(s, store, agreed, counter, r, directory, incarnation, logger)
+	go x.run(work)
+
+	f := &front{relay: r, logger: logger}
+	idle := newIdleConns()
+	frontServer := newFrontServer(f, idle)
+	readyServer := newReadyServer(func() bool { return r.Table() != nil && !f.leaving.Load() })
+	failed := make(chan error, 3)
+	if err := listen(frontServer, s.CallerAddress, failed); err != nil {
+		return err
+	}
+	if err := listen(readyServer, s.ReadyAddress, failed); err != nil {
+		return err
+	}
+	if o.Metrics != "" {
+		host, _, err := net.SplitHostPort(s.CallerAddress)
+		if err != nil {
+			return err
+		}
+		server := process.NewServer(process.NewOperations().Router)
+		if err := listen(server, net.JoinHostPort(host, o.Metrics), failed); err != nil {
+			return err
+		}
+	}
+	logger.Info().Str("Caller", s.CallerAddress).Str("Domain", string(s.Domain)).Msg("Started")
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-hup:
+			logger.Info().Msg("Reloaded")
+		case <-ticker.C:
+			tidy(directory, pool, f, idle, logger)
+		case <-ctx.Done():
+			f.leaving.Store(true)
+			logger.Info().Msg("Stopping")
+			return stop(frontServer, s.Bounds.StopGrace, logger)
+		}
+	}
+}
+
+func listen(srv *http.Server, address string, failed chan<- error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// tidy closes what is idle for too long and drops endpoints whose entries lapsed.
+func tidy(d *roster.Directory, pool *link.Pool[roster.Key], f *front, idle *idleConns, logger *log.Logger) {
+	for _, id := range d.Settle(time.Now()) {
+		logger.Info().Str("Endpoint", string(id)).Str("Reason", "lapsed and not listed again").Msg("EndpointGone")
+	}
+	all := d.View().All()
+	pool.Retain(func(k roster.Key) bool {
+		e, known := all[k.ID]
+		return known && e.Entry().Key == k
+	})
+	if limit := f.limits().IdleTimeout; limit > 0 {
+		idle.closeOlder(limit)
+	}
+}
+
+// stop waits until the platform has noticed that the instance is not ready, and then until open requests have ended.
+func stop(srv *http.Server, grace time.Duration, logger *log.Logger) error {
+	deadline := time.Now().Add(grace - stopMargin)
+	time.Sleep(leaveTime)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		logger.Warn().Err(err).Msg("Stopped")
+		return &process.CutError{What: "open requests"}
+	}
+	logger.Info().Msg("Stopped")
+	return nil
+}
--- /dev/null
+++ b/serving/metering/reporter.go
@@ -0,0 +1,229 @@
+package metering
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"cowslipshunt.example/wire"
+)
+
+// Fence is the lease that windows are frozen and reported under.
+type Fence interface {
+	// Transact commits only while the store names this process as the holder.
+	Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error)
+	// Guard tells whether the lease is held for at least margin more, and with which epoch.
+	Guard(margin time.Duration) (wire.Epoch, bool)
+}
+
+// Platform takes the reports. After an error a report may still arrive.
+type Platform interface {
+	ReportUsage(ctx context.Context, epoch wire.Epoch, w Window, counts Counts) error
+}
+
+// Bounds of reports.
+const (
+	// reportTimeout bounds one report; the lease has to be held for at least as long.
+	reportTimeout = 700 * time.Millisecond
+	// keptWindows is how many reported windows stay in the store, for questions.
+	keptWindows = 12
+	// maxRemoved bounds the rows that one transaction removes.
+	maxRemoved = 60
+)
+
+// windowRow is a frozen window in the store.
+type windowRow struct {
+	Window   Window
+	Counts   Counts
+	Epoch    wire.Epoch
+	Reported bool
+}
+
+// frozen is a window's row and its revision.
+type frozen struct {
+	row      windowRow
+	revision wire.Revision
+	// sources are the rows of counts that it sums.
+	sources []string
+}
+
+// Reporter freezes and reports windows while the lease is held. It is for one goroutine.
+type Reporter struct {
+	table    Table
+	fence    Fence
+	platform Platform
+	counter  *Counter
+	// settle is how long after a window's end its counts are summed.
+	settle time.Duration
+
+	epoch  wire.Epoch
+	loaded bool
+	next   Window
+	open   []frozen
+	kept   []Window
+}
+
+// NewReporter returns a reporter that sums a window's counts settle after its end.
+func NewReporter(t Table, f Fence, p Platform, c *Counter, settle time.Duration) *Reporter {
+	return &Reporter{table: t, fence: f, platform: p, counter: c, settle: settle}
+}
+
+// Step freezes the windows that have settled and reports those that are frozen.
+func (r *Reporter) Step(ctx context.Context) error {
+	epoch, held := r.fence.Guard(reportTimeout)
+	if !held {
+		r.loaded = false
+		return nil
+	}
+	if !r.loaded || epoch != r.epoch {
+		if err := r.load(ctx); err != nil {
+			return err
+		}
+		r.epoch, r.loaded = epoch, true
+	}
+	if err := r.freezeSettled(ctx); err != nil {
+		r.loaded = false
+		return err
+	}
+	return r.report(ctx)
+}
+
+// load reads which windows are frozen and which of them are not reported.
+func (r *Reporter) load(ctx context.Context) error {
+	rows, err := r.table.Range(ctx, WindowTable, "", "")
+	if err != nil {
+		return err
+	}
+	r.open, r.kept, r.next = nil, nil, 0
+	for _, row := range rows {
+		var w windowRow
+		if err := json.Unmarshal(row.Value, &w); err != nil {
+			return fmt.Errorf("decode window %s: %w", row.Key, err)
+		}
+		r.next = w.Window + 1
+		if w.Reported {
+			r.kept = append(r.kept, w.Window)
+			continue
+		}
+		r.open = append(r.open, frozen{row: w, revision: row.Revision})
+	}
+	return nil
+}
+
+// freezeSettled freezes each window that ended at least settle ago.
+func (r *Reporter) freezeSettled(ctx context.Context) error {
+	last := r.counter.At(r.counter.now().Add(-r.settle)) - 1
+	if r.next == 0 {
+		if err := r.findFirst(ctx); err != nil {
+			return err
+		}
+	}
+	for r.next != 0 && r.next <= last {
+		if err := r.freeze(ctx, r.next); err != nil {
+			return err
+		}
+		r.next++
+	}
+	return nil
+}
+
+// findFirst begins with the first window that has counts.
+func (r *Reporter) findFirst(ctx context.Context) error {
+	rows, err := r.table.Range(ctx, CountTable, "", "")
+	if err != nil || len(rows) == 0 {
+		return err
+	}
+	first, err := parseWindow(rows[0].Key)
+	r.next = first
+	return err
+}
+
+// freeze sums a window's counts and writes them once. From then on the window has these counts, whoever reports it.
+func (r *Reporter) freeze(ctx context.Context, w Window) error {
+	rows, err := r.table.Range(ctx, CountTable, windowKey(w), windowKey(w+1))
+	if err != nil {
+		return err
+	}
+	f := frozen{row: windowRow{Window: w, Counts: Counts{}, Epoch: r.epoch}}
+	for _, row := range rows {
+		var counts Counts
+		if err := json.Unmarshal(row.Value, &counts); err != nil {
+			return fmt.Errorf("decode counts %s: %w", row.Key, err)
+		}
+		f.row.Counts.Add(counts)
+		f.sources = append(f.sources, row.Key)
+	}
+	answer, err := r.put(ctx, f.row, 0, nil)
+	if err != nil {
+		return err
+	}
+	if !answer.Committed {
+		return fmt.Errorf("window %d is frozen already", w)
+	}
+	f.revision = answer.Revision
+	r.open = append(r.open, f)
+	return nil
+}
+
+func (r *Reporter) put(ctx context.Context, row windowRow, revision wire.Revision, remove []wire.Write) (wire.TransactAnswer, error) {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return wire.TransactAnswer{}, err
+	}
+	key := windowKey(row.Window)
+	return r.fence.Transact(ctx, wire.TransactRequest{
+		Checks: []wire.Check{{Table: WindowTable, Key: key, Revision: revision}},
+		Writes: append([]wire.Write{{Table: WindowTable, Key: key, Value: value}}, remove...),
+	})
+}
+
+// report sends the frozen windows in order until one fails.
+func (r *Reporter) report(ctx context.Context) error {
+	for len(r.open) > 0 {
+		f := r.open[0]
+		if err := r.send(ctx, f.row); err != nil {
+			return fmt.Errorf("report window %d: %w", f.row.Window, err)
+		}
+		if err := r.markReported(ctx, f); err != nil {
+			r.loaded = false
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reporter) send(ctx context.Context, row windowRow) error {
+	epoch, held := r.fence.Guard(reportTimeout)
+	if !held || epoch != r.epoch {
+		return fmt.Errorf("the lease is not held")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return r.platform.ReportUsage(ctx, epoch, row.Window, maps.Clone(row.Counts))
+}
+
+// markReported notes that the platform has a window, and removes what is no longer needed.
+func (r *Reporter) markReported(ctx context.Context, f frozen) error {
+	f.row.Reported = true
+	var remove []wire.Write
+	for _, key := range f.sources[:min(len(f.sources), maxRemoved)] {
+		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
+	}
+	kept := append(r.kept, f.row.Window)
+	if len(kept) > keptWindows {
+		remove = append(remove, wire.Write{Table: WindowTable, Key: windowKey(kept[0]), Delete: true})
+		kept = kept[1:]
+	}
+	answer, err := r.put(ctx, f.row, f.revision, remove)
+	if err != nil {
+		return err
+	}
+	if !answer.Committed {
+		return fmt.Errorf("window %d was changed by another", f.row.Window)
+	}
+	r.kept = kept
+	r.open = r.open[1:]
+	return nil
+}
--- /dev/null
+++ b/shared/link/dial.go
@@ -0,0 +1,41 @@
+package link
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+)
+
+// Bounds of a connection whose peer has fallen silent. They stay under the time in which an instance has to notice.
+const (
+	// DialTimeout bounds the opening of a connection. A lost opening packet is sent again after a second.
+	DialTimeout = 1200 * time.Millisecond
+	// userTimeout bounds how long written bytes may stay unacknowledged.
+	userTimeout = 2 * time.Second
+	// probeEvery is how often an idle peer is probed, and probes how often without an answer.
+	probeEvery = time.Second
+	probes     = 2
+)
+
+// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall does not name.
+const tcpUserTimeout = 18
+
+// Dial opens a TCP connection that fails soon when its peer falls silent.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probes},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	return d.DialContext(ctx, network, address)
+}
