Test the decisions on the platform's path, and share the retry slack by the instances alive

Cause: the slack of the retry budget was divided by a constant that a larger fleet would exceed; the budget's buckets covered up to half a second less than the window; counts written after their window was frozen stayed in the store unseen; a 503 of an endpoint that does not say whether it ran was passed on as the promise that it had not.

Ruled out: reporting late counts in a later window (that window would then be wrong as well); they are logged to be billed by hand.

--- a/router/duties.go
+++ b/router/duties.go
@@ -74,7 +74,7 @@
 		scaled:      map[fleet.Wanted]time.Time{},
 		staged:      map[roster.Key]time.Time{},
 	}
-	x.reporter = metering.NewReporter(store, keeper, x, counter, s.Bounds.UsageDue/2)
+	x.reporter = metering.NewReporter(store, keeper, x, counter, s.Bounds.UsageDue/2, metering.WithLate(x.usageLate))
 	return x
 }
 
@@ -137,6 +137,14 @@
 	return err
 }
 
+// usageLate logs counts that no report holds.
+func (x *duties) usageLate(w metering.Window, counts metering.Counts) {
+	for workspace, n := range counts {
+		x.logger.Error().Int64("Window", int64(w)).Str("Workspace", string(workspace)).Int("Requests", n).
+			Str("Reason", "written after the window was frozen").Msg("UsageNotReported")
+	}
+}
+
 // scale orders endpoints where fewer or more are listed than wanted.
 func (x *duties) scale(ctx context.Context, wanted []fleet.Wanted) {
 	now := time.Now()
--- /dev/null
+++ b/router/members.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"cowslipshunt.example/serving/membership"
+	"cowslipshunt.example/serving/relay"
+	"github.com/phuslu/log"
+)
+
+// Times of the register's first refreshes.
+const (
+	// firstRefresh is when an instance looks again after its start: the others have written their rows by then.
+	firstRefresh = 3 * time.Second
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// keepMembers refreshes the instance's row until ctx ends and divides the retry budget's slack by the instances alive.
+func keepMembers(ctx context.Context, register *membership.Register, r *relay.Relay, slack float64, logger *log.Logger) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	known, next := 0, firstRefresh
+	for {
+		select {
+		case <-ctx.Done():
+			leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+			defer cancel()
+			if err := register.Leave(leaveCtx); err != nil {
+				logger.Warn().Err(err).Msg("MemberRowLeft")
+			}
+			return
+		case <-timer.C:
+		}
+		alive, err := register.Refresh(ctx)
+		if err != nil {
+			logger.Warn().Err(err).Msg("MemberNotRefreshed")
+		}
+		if alive > 0 && next != firstRefresh {
+			r.SetSlack(slack / float64(alive))
+		}
+		if alive != known {
+			logger.Info().Int("Alive", alive).Int("Before", known).Msg("Members")
+			known = alive
+		}
+		timer.Reset(next)
+		next = membership.RefreshEvery
+	}
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
@@ -35,8 +36,8 @@
 // tidyEvery is how often idle connections and lapsed endpoints are looked at.
 const tidyEvery = 500 * time.Millisecond
 
-// expectedInstances divides the slack of the retry budget until the number of instances is known.
-const expectedInstances = 12
+// expectedInstances divides the slack of the retry budget until the instances alive are counted: more than there are.
+const expectedInstances = 64
 
 // serve runs an instance until ctx ends.
 func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
@@ -61,6 +62,8 @@
 	go writeUsage(work, store, agreed, counter, incarnation, logger)
 	x := newDuties(s, store, agreed, counter, r, directory, incarnation, logger)
 	go x.run(work)
+	register := membership.NewRegister(store, s.Instance, s.Domain, agreed.Now)
+	go keepMembers(work, register, r, s.Bounds.RetrySlack, logger)
 
 	f := &front{relay: r, logger: logger}
 	idle := newIdleConns()
--- /dev/null
+++ b/serving/membership/members_test.go
@@ -0,0 +1,51 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/membership"
+	"cowslipshunt.example/shared/tabletest"
+	"cowslipshunt.example/wire"
+)
+
+func TestMembersAreCountedUntilTheyAreStale(t *testing.T) {
+	table := tabletest.New()
+	now := time.Unix(1e9, 0)
+	clock := func() time.Time { return now }
+	registers := map[string]*membership.Register{}
+	for _, name := range []string{"a", "b", "c"} {
+		registers[name] = membership.NewRegister(table, wire.InstanceName(name), "d", clock)
+		if _, err := registers[name].Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	count := func(name string, want int) {
+		t.Helper()
+		got, err := registers[name].Refresh(t.Context())
+		if err != nil || got != want {
+			t.Errorf("%s counts %d, %v; want %d", name, got, err, want)
+		}
+	}
+	count("a", 3)
+	if err := registers["b"].Leave(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	count("a", 2)
+	for _, want := range []int{2, 2, 1, 1} {
+		now = now.Add(membership.RefreshEvery)
+		count("a", want)
+	}
+	if rows := table.Rows(membership.TableName, ""); len(rows) != 1 {
+		t.Errorf("%d rows are left", len(rows))
+	}
+}
+
+func TestUnreadableMemberDoesNotHideTheOthers(t *testing.T) {
+	table := tabletest.New()
+	table.Commit(wire.TransactRequest{Writes: []wire.Write{{Table: membership.TableName, Key: "x", Value: []byte("{")}}})
+	r := membership.NewRegister(table, "a", "d", func() time.Time { return time.Unix(1e9, 0) })
+	if n, err := r.Refresh(t.Context()); n != 1 || err != nil {
+		t.Errorf("got %d, %v", n, err)
+	}
+}
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -57,6 +57,8 @@
 	counter  *Counter
 	// settle is how long after a window's end its counts are summed.
 	settle time.Duration
+	// late is told of counts that came after their window was frozen. They are not reported: a window has one set of counts.
+	late func(w Window, counts Counts)
 
 	epoch  wire.Epoch
 	loaded bool
@@ -65,9 +67,23 @@
 	kept   []Window
 }
 
+// Option changes a reporter.
+type Option func(*Reporter)
+
+// WithLate sets what is told of counts that came after their window was frozen, so that they can be billed by hand.
+func WithLate(late func(w Window, counts Counts)) Option {
+	return func(r *Reporter) {
+		r.late = late
+	}
+}
+
 // NewReporter returns a reporter that sums a window's counts settle after its end.
-func NewReporter(t Table, f Fence, p Platform, c *Counter, settle time.Duration) *Reporter {
-	return &Reporter{table: t, fence: f, platform: p, counter: c, settle: settle}
+func NewReporter(t Table, f Fence, p Platform, c *Counter, settle time.Duration, opts ...Option) *Reporter {
+	r := &Reporter{table: t, fence: f, platform: p, counter: c, settle: settle, late: func(Window, Counts) {}}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Step freezes the windows that have settled and reports those that are frozen.
@@ -142,18 +158,22 @@
 
 // freeze sums a window's counts and writes them once. From then on the window has these counts, whoever reports it.
 func (r *Reporter) freeze(ctx context.Context, w Window) error {
-	rows, err := r.table.Range(ctx, CountTable, windowKey(w), windowKey(w+1))
+	rows, err := r.table.Range(ctx, CountTable, "", windowKey(w+1))
 	if err != nil {
 		return err
 	}
 	f := frozen{row: windowRow{Window: w, Counts: Counts{}, Epoch: r.epoch}}
 	for _, row := range rows {
-		var counts Counts
-		if err := json.Unmarshal(row.Value, &counts); err != nil {
-			return fmt.Errorf("decode counts %s: %w", row.Key, err)
+		of, counts, err := decodeCounts(row)
+		if err != nil {
+			return err
 		}
-		f.row.Counts.Add(counts)
 		f.sources = append(f.sources, row.Key)
+		if of < w {
+			r.late(of, counts)
+			continue
+		}
+		f.row.Counts.Add(counts)
 	}
 	answer, err := r.put(ctx, f.row, 0, nil)
 	if err != nil {
@@ -167,6 +187,18 @@
 	return nil
 }
 
+func decodeCounts(row wire.Row) (Window, Counts, error) {
+	w, err := parseWindow(row.Key)
+	if err != nil {
+		return 0, nil, fmt.Errorf("decode the key of counts %s: %w", row.Key, err)
+	}
+	var counts Counts
+	if err := json.Unmarshal(row.Value, &counts); err != nil {
+		return 0, nil, fmt.Errorf("decode counts %s: %w", row.Key, err)
+	}
+	return w, counts, nil
+}
+
 func (r *Reporter) put(ctx context.Context, row windowRow, revision wire.Revision, remove []wire.Write) (wire.TransactAnswer, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
--- /dev/null
+++ b/serving/metering/reporter_test.go
@@ -0,0 +1,188 @@
+package metering_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/shared/lease"
+	"cowslipshunt.example/shared/tabletest"
+	"cowslipshunt.example/wire"
+	"pgregory.net/rapid"
+)
+
+// settle is how long after its end a window is frozen in these tests.
+const settle = 5 * time.Second
+
+// clock is the agreed time and every instance's steady clock.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time           { return c.now }
+func (c *clock) Monotonic() time.Duration { return c.now.Sub(time.Unix(0, 0)) }
+func (c *clock) Wall() time.Time          { return c.now }
+
+// platform takes reports and is the oracle: a window has one set of counts.
+type platform struct {
+	t       *rapid.T
+	fails   func() bool
+	reports map[metering.Window]metering.Counts
+	highest wire.Epoch
+}
+
+func (p *platform) ReportUsage(_ context.Context, epoch wire.Epoch, w metering.Window, counts metering.Counts) error {
+	if epoch < p.highest {
+		p.t.Fatalf("a report under epoch %d came after one under %d", epoch, p.highest)
+	}
+	p.highest = epoch
+	if before, known := p.reports[w]; known && !maps.Equal(before, counts) {
+		p.t.Fatalf("window %d was reported as %v and as %v", w, before, counts)
+	}
+	p.reports[w] = counts
+	if p.fails() {
+		return errors.New("the answer was lost")
+	}
+	return nil
+}
+
+// instance is one process with its counts and its part in the duties.
+type instance struct {
+	name     wire.IncarnationId
+	counter  *metering.Counter
+	keeper   *lease.Keeper
+	reporter *metering.Reporter
+}
+
+// usageModel drives instances that count, write, report and get killed.
+type usageModel struct {
+	t         *rapid.T
+	clock     *clock
+	table     *tabletest.Table
+	platform  *platform
+	instances []*instance
+	started   int
+	calm      bool
+	// truth is what began, late what the reporters found too late to report.
+	truth map[metering.Window]int
+	late  map[metering.Window]int
+}
+
+func newUsageModel(t *rapid.T) *usageModel {
+	m := &usageModel{t: t, clock: &clock{now: time.Unix(1e9, 0)}, table: tabletest.New(), truth: map[metering.Window]int{}, late: map[metering.Window]int{}}
+	m.table.Fault = m.fault
+	m.table.QueryFails = func() bool { return !m.calm && rapid.IntRange(0, 19).Draw(t, "query") == 0 }
+	m.platform = &platform{t: t, reports: map[metering.Window]metering.Counts{}}
+	m.platform.fails = func() bool { return !m.calm && rapid.IntRange(0, 3).Draw(t, "report") == 0 }
+	for range 3 {
+		m.instances = append(m.instances, m.start())
+	}
+	return m
+}
+
+func (m *usageModel) fault() tabletest.Fault {
+	if m.calm {
+		return tabletest.None
+	}
+	return rapid.SampledFrom([]tabletest.Fault{tabletest.None, tabletest.None, tabletest.None, tabletest.Refused, tabletest.Lost}).Draw(m.t, "fault")
+}
+
+func (m *usageModel) start() *instance {
+	m.started++
+	i := &instance{name: wire.IncarnationId(fmt.Sprint(m.started))}
+	i.counter = metering.NewCounter(length, m.clock.Now)
+	self := lease.Identity{Instance: wire.InstanceName(i.name), Incarnation: i.name}
+	i.keeper = lease.NewKeeper("duties", self, m.table, m.clock)
+	i.reporter = metering.NewReporter(m.table, i.keeper, m.platform, i.counter, settle,
+		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }))
+	return i
+}
+
+func (m *usageModel) began(i *instance) {
+	i.counter.Began("w")
+	m.truth[i.counter.At(m.clock.now)]++
+}
+
+func (m *usageModel) step(i *instance) {
+	_ = i.counter.Write(m.t.Context(), m.table, i.name)
+	_ = i.keeper.Step(m.t.Context())
+	_ = i.reporter.Step(m.t.Context())
+}
+
+// kill starts a new incarnation in place of one; what that had not written is lost.
+func (m *usageModel) kill(n int) {
+	m.instances[n] = m.start()
+}
+
+func (m *usageModel) run(d time.Duration) {
+	for range int(d / (500 * time.Millisecond)) {
+		m.clock.now = m.clock.now.Add(500 * time.Millisecond)
+		for _, i := range m.instances {
+			m.step(i)
+		}
+	}
+}
+
+func TestEachWindowHasOneSetOfCountsUnderKillsAndLostAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newUsageModel(t)
+		pick := func() int { return rapid.IntRange(0, len(m.instances)-1).Draw(t, "instance") }
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) {},
+			"began": func(*rapid.T) {
+				i := m.instances[pick()]
+				for range rapid.IntRange(1, 5).Draw(t, "requests") {
+					m.began(i)
+				}
+			},
+			"run":  func(*rapid.T) { m.run(time.Duration(rapid.IntRange(1, 4).Draw(t, "seconds")) * time.Second) },
+			"kill": func(*rapid.T) { m.kill(pick()) },
+		})
+		m.calm = true
+		m.run(30 * time.Second)
+		m.checkAllReported()
+	})
+}
+
+// checkAllReported holds the reports and what was found too late to what began, and demands that no counts are left over.
+func (m *usageModel) checkAllReported() {
+	for w, n := range m.truth {
+		if got := m.platform.reports[w]["w"]; got > n {
+			m.t.Fatalf("window %d was reported with %d requests of %d", w, got, n)
+		}
+	}
+	last := m.instances[0].counter.At(m.clock.now.Add(-settle)) - 1
+	for _, row := range m.table.Rows(metering.CountTable, "") {
+		if row.Key < fmt.Sprintf("%012d", last) {
+			m.t.Fatalf("counts %s were neither reported nor found late; %d windows were", row.Key, len(m.platform.reports))
+		}
+	}
+}
+
+// TestCalmWindowsAreReportedInFull is the oracle without faults: nothing is missing.
+func TestCalmWindowsAreReportedInFull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newUsageModel(t)
+		m.calm = true
+		m.run(10 * time.Second)
+		for range rapid.IntRange(1, 20).Draw(t, "seconds") {
+			for _, i := range m.instances {
+				for range rapid.IntRange(0, 3).Draw(t, "requests") {
+					m.began(i)
+				}
+			}
+			m.run(time.Second)
+		}
+		m.run(length + settle + 2*time.Second)
+		for w, n := range m.truth {
+			if got := m.platform.reports[w]["w"]; got != n {
+				t.Fatalf("window %d was reported with %d requests of %d", w, got, n)
+			}
+		}
+		if rows := m.table.Rows(metering.CountTable, ""); len(rows) > 6 {
+			t.Errorf("%d rows of counts are left", len(rows))
+		}
+	})
+}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -109,6 +109,16 @@
 	return b
 }
 
+// SetSlack changes this instance's part of the slack that all instances' retry budgets have together.
+func (r *Relay) SetSlack(slack float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bounds.Slack = slack
+	for _, b := range r.budgets {
+		b.SetSlack(slack)
+	}
+}
+
 // refuseRetry is when a client should come back to an instance that has no configuration or no endpoint.
 const refuseRetry = 500 * time.Millisecond
 
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -119,6 +119,11 @@
 		j.caller.Abort()
 		return true
 	}
+	if promisesNotRun(a.Status) {
+		j.decided("Withheld", e, a.Status, "the status would promise that the request has not run", nil)
+		j.refuse(Refusal{Verdict: Unknown, Reason: "the endpoint refused the request without saying whether it ran"})
+		return true
+	}
 	j.decided("Answered", e, a.Status, "", nil)
 	j.caller.Answer(a.Status, a.Header, body)
 	return true
@@ -174,3 +179,12 @@
 	j.caller.End()
 	return true
 }
+
+// promisesNotRun tells whether a client takes a status for the promise that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case 408, 421, 429, 503:
+		return true
+	}
+	return false
+}
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -6,13 +6,14 @@
 	"time"
 )
 
-// buckets is how finely the window slides.
-const buckets = 20
+// buckets is how finely the window slides. The sends of all buckets count, and the requests of all but the oldest: the
+// buckets together are one longer than the window.
+const buckets = 21
 
 // Budget bounds the sends beyond the first of each request to one service within a sliding window: a ratio of the
 // requests and a share of the slack that all instances have together. It is safe for concurrent use.
 type Budget struct {
-	window time.Duration
+	bucket time.Duration
 	ratio  float64
 
 	mu       sync.Mutex
@@ -24,7 +25,7 @@
 
 // NewBudget returns the budget of one service.
 func NewBudget(window time.Duration, ratio, slack float64) *Budget {
-	return &Budget{window: window, ratio: ratio, slack: slack}
+	return &Budget{bucket: window / (buckets - 1), ratio: ratio, slack: slack}
 }
 
 // SetSlack changes this instance's share of the slack, as instances come and go.
@@ -56,7 +57,7 @@
 
 // advance empties the buckets that have left the window.
 func (b *Budget) advance(now time.Time) {
-	at := now.UnixNano() / int64(b.window/buckets)
+	at := now.UnixNano() / int64(b.bucket)
 	if at <= b.at {
 		return
 	}
@@ -76,7 +77,7 @@
 
 // left tells whether one more send is within the bound. The caller holds the lock.
 func (b *Budget) left() bool {
-	requests, extra := 0, 0
+	requests, extra := -b.requests[(b.at+1)%buckets], 0
 	for i := range buckets {
 		requests += b.requests[i]
 		extra += b.extra[i]
--- /dev/null
+++ b/serving/roster/directory_test.go
@@ -0,0 +1,202 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/roster"
+	"cowslipshunt.example/wire"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1e9, 0)
+
+func entry(id string, born int64) roster.Entry {
+	return roster.Entry{Key: roster.Key{ID: wire.EndpointId(id), Born: born}, Service: "s", Address: "10.0.0.1:80", Domain: "a", Slots: 1}
+}
+
+func open(d *roster.Directory, id string, now time.Time) bool {
+	e, ok := d.View().All()[wire.EndpointId(id)]
+	return ok && e.Open(now)
+}
+
+func TestLeavingEndpointTakesNoNewWork(t *testing.T) {
+	d := roster.NewDirectory()
+	d.Put(entry("a", 1))
+	if !open(d, "a", start) {
+		t.Fatal("a listed endpoint is not open")
+	}
+	held := d.View().All()["a"]
+	leaving := entry("a", 1)
+	leaving.Leaving = true
+	d.Put(leaving)
+	if open(d, "a", start) || held.Open(start) {
+		t.Error("a leaving endpoint is open")
+	}
+}
+
+func TestRemovedEndpointIsClosedForThoseWhoHoldIt(t *testing.T) {
+	d := roster.NewDirectory()
+	d.Put(entry("a", 1))
+	held := d.View().All()["a"]
+	if !d.Remove("a", start) || held.Open(start) {
+		t.Error("a removed endpoint is open")
+	}
+}
+
+func TestNewIncarnationKnowsNothingOfTheOldOne(t *testing.T) {
+	d := roster.NewDirectory()
+	d.Put(entry("a", 1))
+	old := d.View().All()["a"]
+	old.Learn([]roster.PartID{1, 2})
+	release := old.Begin(100)
+	d.Put(entry("a", 2))
+	born := d.View().All()["a"]
+	if born == old || born.Kept([]roster.PartID{1}) != 0 || born.InFlight() != 0 || old.Open(start) {
+		t.Error("the new incarnation has the old one's state")
+	}
+	release()
+	release()
+	if old.InFlight() != 0 || old.PrefillLoad() != 0 {
+		t.Error("a request was ended twice")
+	}
+}
+
+func TestEntryThatLapsedWithTheStoreHasUntilGrace(t *testing.T) {
+	tests := []struct {
+		name  string
+		back  bool
+		after time.Duration
+		want  bool
+	}{
+		{"still missing before the grace ends", false, roster.LapseGrace - time.Millisecond, true},
+		{"missing when the grace ends", false, roster.LapseGrace, false},
+		{"back in time", true, roster.LapseGrace, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := roster.NewDirectory()
+			d.Put(entry("a", 1))
+			d.StoreLost()
+			d.StoreBack(start)
+			d.Retain(map[wire.EndpointId]bool{}, start)
+			if !open(d, "a", start) {
+				t.Fatal("a lapsed entry went at once")
+			}
+			if test.back {
+				d.Put(entry("a", 1))
+			}
+			now := start.Add(test.after)
+			d.Settle(now)
+			if got := open(d, "a", now); got != test.want {
+				t.Errorf("open: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestLeavingEndpointGoesAtOnceThoughTheStoreIsAway(t *testing.T) {
+	d := roster.NewDirectory()
+	leaving := entry("a", 1)
+	leaving.Leaving = true
+	d.Put(leaving)
+	d.StoreLost()
+	if !d.Remove("a", start) {
+		t.Error("a leaving endpoint was kept as lapsed")
+	}
+}
+
+func TestFailedEndpointIsPausedLongerEachTime(t *testing.T) {
+	d := roster.NewDirectory()
+	d.Put(entry("a", 1))
+	e := d.View().All()["a"]
+	now, last := start, time.Duration(0)
+	for range 8 {
+		e.Failed(now)
+		pause := time.Duration(0)
+		for !e.Open(now.Add(pause)) {
+			pause += 10 * time.Millisecond
+		}
+		if pause < last || pause == 0 || pause > 4*time.Second {
+			t.Fatalf("paused for %v after %v", pause, last)
+		}
+		last = pause
+		now = now.Add(pause)
+	}
+	e.Worked()
+	if !e.Open(now) {
+		t.Error("an endpoint that worked is paused")
+	}
+}
+
+// directoryModel is the oracle of a directory: what the store showed last, and when it came back.
+type directoryModel struct {
+	now     time.Time
+	away    bool
+	settled time.Time
+	shown   map[string]roster.Entry
+	// missing is since when an entry is missing, and whether the store was unwell then.
+	missing map[string]bool
+}
+
+func TestDirectoryFollowsTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := roster.NewDirectory()
+		m := directoryModel{now: start, shown: map[string]roster.Entry{}, missing: map[string]bool{}}
+		id := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				for name, e := range m.shown {
+					if got := open(d, name, m.now); got != !e.Leaving {
+						t.Fatalf("%s is shown, leaving %v: open %v", name, e.Leaving, got)
+					}
+				}
+				for name, lapsed := range m.missing {
+					got := open(d, name, m.now)
+					if !lapsed && got {
+						t.Fatalf("%s is gone and open", name)
+					}
+					if lapsed && !m.away && !m.now.Before(m.settled) && got {
+						t.Fatalf("%s lapsed, did not come back and is open", name)
+					}
+				}
+			},
+			"put": func(t *rapid.T) {
+				name := id.Draw(t, "id")
+				e := entry(name, rapid.Int64Range(1, 2).Draw(t, "born"))
+				e.Leaving = rapid.Bool().Draw(t, "leaving")
+				d.Put(e)
+				m.shown[name] = e
+				delete(m.missing, name)
+			},
+			"remove": func(t *rapid.T) {
+				name := id.Draw(t, "id")
+				e, shown := m.shown[name]
+				d.Remove(wire.EndpointId(name), m.now)
+				if shown {
+					m.missing[name] = !e.Leaving && (m.away || m.now.Before(m.settled))
+					delete(m.shown, name)
+				}
+			},
+			"lose": func(*rapid.T) { d.StoreLost(); m.away = true },
+			"regain": func(*rapid.T) {
+				d.StoreBack(m.now)
+				if m.away {
+					m.away, m.settled = false, m.now.Add(roster.LapseGrace)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				d.Settle(m.now)
+			},
+		})
+	})
+}
+
+func ExampleDirectory_Put() {
+	d := roster.NewDirectory()
+	d.Put(entry("a", 1))
+	fmt.Println(len(d.View().Service("s")))
+	// Output: 1
+}
--- /dev/null
+++ b/serving/route/table_test.go
@@ -0,0 +1,63 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	"cowslipshunt.example/serving/route"
+	"cowslipshunt.example/wire"
+)
+
+func ExampleTable_Find() {
+	routes := []*route.Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "drafts", Host: "a.example", Prefix: "/drafts/"},
+	}
+	t := route.NewTable(1, routes, nil, nil, route.Limits{})
+	fmt.Println(t.Find("A.example:80", "/drafts/7").Name)
+	fmt.Println(t.Find("a.example", "/draft").Name)
+	fmt.Println(t.Find("b.example", "/drafts/7"))
+	// Output:
+	// drafts
+	// all
+	// <nil>
+}
+
+func TestHolderIsTheKeysWorkspaceOnly(t *testing.T) {
+	w := &route.Workspace{Name: "w"}
+	table := route.NewTable(1, nil, nil, map[string]*route.Workspace{"k": w}, route.Limits{})
+	if table.Holder("k") != w || table.Holder("") != nil || table.Holder("other") != nil {
+		t.Error("a key was not its workspace's alone")
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := route.Route{Shares: []route.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	tests := []struct {
+		draw float64
+		want wire.ServiceName
+	}{{0, "a"}, {0.89, "a"}, {0.91, "b"}, {0.9999, "b"}}
+	for _, test := range tests {
+		if got := r.Pick(test.draw); got != test.want {
+			t.Errorf("draw %v: got %s, want %s", test.draw, got, test.want)
+		}
+	}
+}
+
+func TestOnlySafeRequestsAreRepeatable(t *testing.T) {
+	tests := []struct {
+		r    route.Route
+		want bool
+	}{
+		{route.Route{Kind: route.Once}, false},
+		{route.Route{Kind: route.Once, Resumable: true}, false},
+		{route.Route{Kind: route.Idempotent}, true},
+		{route.Route{Kind: route.Stream}, false},
+		{route.Route{Kind: route.Stream, Resumable: true}, true},
+	}
+	for _, test := range tests {
+		if got := test.r.Repeatable(); got != test.want {
+			t.Errorf("%v resumable %v: got %v", test.r.Kind, test.r.Resumable, got)
+		}
+	}
+}
