Share load among instances, and let spot endpoints carry the load

Instances now report load and the parts of prompts they sent by datagrams. A steady endpoint costs five times a spot one; one steady and seven spot in each failure domain serve as much for less. When spot endpoints are reclaimed while prompts wait, steady ones stand in for half of them.

--- a/router/duties.go
+++ b/router/duties.go
@@ -35,6 +35,19 @@
 // dutyLease names the lease for usage reports and orders.
 const dutyLease wire.LeaseName = "duties"
 
+// scaleKey names what one order of endpoints is about, scaleOrder is the last such order.
+type (
+	scaleKey struct {
+		service wire.ServiceName
+		domain  wire.DomainName
+		spot    bool
+	}
+	scaleOrder struct {
+		count int
+		at    time.Time
+	}
+)
+
 // duties are what one instance at a time does for all.
 type duties struct {
 	instance  wire.InstanceName
@@ -51,7 +64,8 @@
 
 	incarnation wire.IncarnationId
 	holds       bool
-	scaled      map[fleet.Wanted]time.Time
+	scaled      map[scaleKey]scaleOrder
+	scalers     map[wire.ServiceName]*fleet.Scaler
 	staged      map[roster.Key]time.Time
 }
 
@@ -71,7 +85,8 @@
 		logger:      logger,
 		settings:    s,
 		incarnation: incarnation,
-		scaled:      map[fleet.Wanted]time.Time{},
+		scaled:      map[scaleKey]scaleOrder{},
+		scalers:     map[wire.ServiceName]*fleet.Scaler{},
 		staged:      map[roster.Key]time.Time{},
 	}
 	x.reporter = metering.NewReporter(store, keeper, x, counter, s.Bounds.UsageDue/2, metering.WithLate(x.usageLate))
@@ -112,18 +127,15 @@
 	}
 	if t := x.relay.Table(); t != nil {
 		for _, name := range slices.Sorted(maps.Keys(t.Services)) {
+			list := x.directory.View().Service(name)
 			if x.settings.OrdersReplicas {
-				x.scale(ctx, fleet.DefaultPolicy.Counts(t.Services[name], x.domains()))
+				x.scale(ctx, list, x.scaler(name).Look(t.Services[name], list, x.settings.Domains))
 			}
-			x.stage(ctx, fleet.DefaultPolicy.Changes(x.directory.View().Service(name)))
+			x.stage(ctx, fleet.DefaultPolicy.Changes(list))
 		}
 	}
 }
 
-func (x *duties) domains() []wire.DomainName {
-	return x.settings.Domains
-}
-
 // authority returns what orders carry, if the lease is held for long enough.
 func (x *duties) authority() (platform.Authority, bool) {
 	epoch, held := x.keeper.Guard(orderTimeout)
@@ -145,39 +157,42 @@
 	}
 }
 
+// scaler returns the scaler of a service.
+func (x *duties) scaler(name wire.ServiceName) *fleet.Scaler {
+	s, known := x.scalers[name]
+	if !known {
+		s = fleet.NewScaler(fleet.DefaultPolicy)
+		x.scalers[name] = s
+	}
+	return s
+}
+
 // scale orders endpoints where fewer or more are listed than wanted.
-func (x *duties) scale(ctx context.Context, wanted []fleet.Wanted) {
+func (x *duties) scale(ctx context.Context, list []*roster.Endpoint, wanted []fleet.Wanted) {
 	now := time.Now()
 	for _, w := range wanted {
-		if x.listed(w) == w.Count || now.Sub(x.scaled[w]) < scaleAgain {
+		key := scaleKey{service: w.Service, domain: w.Domain, spot: w.Spot}
+		if last := x.scaled[key]; fleet.Listed(list, w.Domain, w.Spot) == w.Count || last.count == w.Count && now.Sub(last.at) < scaleAgain {
 			continue
 		}
 		a, held := x.authority()
 		if !held {
 			return
 		}
-		x.scaled[w] = now
+		x.scaled[key] = scaleOrder{count: w.Count, at: now}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := x.client.Scale(callCtx, a, platform.ScaleOrder{Service: w.Service, Domain: w.Domain, Count: w.Count, Spot: w.Spot})
 		cancel()
 		var status *platform.StatusError
 		none := errors.As(err, &status) && status.Status == http.StatusConflict
+		if none && w.Spot {
+			x.scaler(w.Service).Refused(w.Domain)
+		}
 		x.logger.Info().Str("Service", string(w.Service)).Str("Domain", string(w.Domain)).Int("Count", w.Count).Bool("Spot", w.Spot).
 			Int64("Epoch", int64(a.Epoch)).Bool("NoneToBeHad", none).Err(err).Msg("EndpointsOrdered")
 	}
 }
 
-// listed counts the endpoints of a kind that stay.
-func (x *duties) listed(w fleet.Wanted) int {
-	n := 0
-	for _, e := range x.directory.View().Service(w.Service) {
-		if entry := e.Entry(); entry.Domain == w.Domain && entry.Spot == w.Spot && !entry.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // stage orders engines to another stage.
 func (x *duties) stage(ctx context.Context, changes []fleet.Change) {
 	now := time.Now()
--- a/router/members.go
+++ b/router/members.go
@@ -17,7 +17,7 @@
 )
 
 // keepMembers refreshes the instance's row until ctx ends and divides the retry budget's slack by the instances alive.
-func keepMembers(ctx context.Context, register *membership.Register, r *relay.Relay, slack float64, logger *log.Logger) {
+func keepMembers(ctx context.Context, register *membership.Register, r *relay.Relay, peers *peers, slack float64, logger *log.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	known, next := 0, firstRefresh
@@ -32,11 +32,15 @@
 			return
 		case <-timer.C:
 		}
-		alive, err := register.Refresh(ctx)
+		addresses, err := register.Refresh(ctx)
 		if err != nil {
 			logger.Warn().Err(err).Msg("MemberNotRefreshed")
 		}
-		if alive > 0 && next != firstRefresh {
+		alive := len(addresses) + 1
+		if addresses != nil {
+			peers.setAddresses(addresses)
+		}
+		if addresses != nil && next != firstRefresh {
 			r.SetSlack(slack / float64(alive))
 		}
 		if alive != known {
--- a/router/serve.go
+++ b/router/serve.go
@@ -13,6 +13,7 @@
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/truetime"
@@ -52,18 +53,23 @@
 	courier := platform.NewCourier(pool, clock)
 	counter := metering.NewCounter(s.Bounds.UsageWindow, agreed.Now)
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack / expectedInstances}
-	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds)
+	incarnation := wire.IncarnationId(uuid.NewString())
+	reporter := peerload.NewReporter(s.Instance, incarnation, s.PeerAddress, directory)
+	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(reporter.Used))
 
 	work, stopWork := context.WithCancel(process.Hard(ctx))
 	defer stopWork()
 	go followConfiguration(store, r, logger).run(work)
 	go followReplicas(store, directory, logger).run(work)
-	incarnation := wire.IncarnationId(uuid.NewString())
 	go writeUsage(work, store, agreed, counter, incarnation, logger)
 	x := newDuties(s, store, agreed, counter, r, directory, incarnation, logger)
 	go x.run(work)
-	register := membership.NewRegister(store, s.Instance, s.Domain, agreed.Now)
-	go keepMembers(work, register, r, s.Bounds.RetrySlack, logger)
+	peers, err := newPeers(work, s.PeerAddress, reporter, peerload.NewBoard(s.Instance, directory), logger)
+	if err != nil {
+		return err
+	}
+	register := membership.NewRegister(store, s.Instance, s.Domain, s.PeerAddress, agreed.Now)
+	go keepMembers(work, register, r, peers, s.Bounds.RetrySlack, logger)
 
 	f := &front{relay: r, logger: logger}
 	idle := newIdleConns()
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -60,10 +60,20 @@
 	return l.Addr().String()
 }
 
+func freePort(t *testing.T) int {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
 func start(t *testing.T, respond func(r *http.Request, body []byte) (string, bool)) *instance {
 	t.Helper()
 	x := &instance{t: t, store: platformtest.NewStore(t), duties: platformtest.NewDuties(t), replica: platformtest.NewReplica(t, respond), log: &output{}, done: make(chan error, 1)}
-	text := platformtest.Settings(freeAddress(t), freeAddress(t), x.store.Address, x.duties.Address)
+	text := platformtest.Settings(freeAddress(t), freeAddress(t), x.store.Address, x.duties.Address, freePort(t))
 	settings, err := platform.ParseSettings("boot.conf", []byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/serving/fleet/plan.go
+++ b/serving/fleet/plan.go
@@ -8,45 +8,23 @@
 	"strings"
 
 	"cowslipshunt.example/serving/roster"
-	"cowslipshunt.example/serving/route"
 	"cowslipshunt.example/wire"
 )
 
-// Policy is what the numbers of endpoints go by.
+// Policy is what the numbers and stages of endpoints go by.
 type Policy struct {
-	// Steady and Spot are the endpoints of each kind that are wanted in each failure domain, within the service's bounds.
-	Steady, Spot int
+	// Steady are the steady endpoints that are wanted in each failure domain; the service's other places go to spot ones.
+	Steady int
+	// StandIns is the share of missing spot endpoints that steady ones stand in for, StandInBacklog the tokens that have to
+	// wait at each prefill engine for that.
+	StandIns       float64
+	StandInBacklog float64
 	// PrefillShare is the share of a failure domain's engines that prefill.
 	PrefillShare float64
 }
 
-// DefaultPolicy is the policy of services that set no other.
-var DefaultPolicy = Policy{Steady: 4, Spot: 4, PrefillShare: 0.45}
-
-// Wanted is how many endpoints of one kind a service should have in a failure domain.
-type Wanted struct {
-	Service wire.ServiceName
-	Domain  wire.DomainName
-	Spot    bool
-	Count   int
-}
-
-// Counts returns what is wanted of a service in each failure domain.
-func (p Policy) Counts(s *route.Service, domains []wire.DomainName) []Wanted {
-	if s.Scale == nil {
-		return nil
-	}
-	var list []Wanted
-	for _, d := range domains {
-		steady := min(max(p.Steady, s.Scale.Min), s.Scale.Max)
-		spot := 0
-		if s.Scale.SpotPrice > 0 {
-			spot = min(p.Spot, s.Scale.Max-steady)
-		}
-		list = append(list, Wanted{Service: s.Name, Domain: d, Count: steady}, Wanted{Service: s.Name, Domain: d, Spot: true, Count: spot})
-	}
-	return list
-}
+// DefaultPolicy is the policy of services that set no other. The figures come from the days of docs/policy.md.
+var DefaultPolicy = Policy{Steady: 1, StandIns: 0.5, StandInBacklog: 5000, PrefillShare: 0.55}
 
 // Change is an engine that should get another stage.
 type Change struct {
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -33,6 +33,8 @@
 // member is a row's value.
 type member struct {
 	Domain wire.DomainName
+	// Address is where the instance takes its peers' reports.
+	Address string
 	// Seen is when the row was written, in Unix milliseconds of the agreed time.
 	Seen int64
 }
@@ -42,34 +44,35 @@
 	table    Table
 	instance wire.InstanceName
 	domain   wire.DomainName
+	address  string
 	now      func() time.Time
 }
 
-// NewRegister returns the register of an instance; now returns the agreed time.
-func NewRegister(t Table, instance wire.InstanceName, domain wire.DomainName, now func() time.Time) *Register {
-	return &Register{table: t, instance: instance, domain: domain, now: now}
+// NewRegister returns the register of an instance that takes its peers' reports at an address; now returns the agreed time.
+func NewRegister(t Table, instance wire.InstanceName, domain wire.DomainName, address string, now func() time.Time) *Register {
+	return &Register{table: t, instance: instance, domain: domain, address: address, now: now}
 }
 
-// Refresh writes the instance's row and returns how many instances are alive, this one included. It removes the rows of
+// Refresh writes the instance's row and returns the addresses of the other instances that are alive. It removes the rows of
 // those that are gone for long.
-func (r *Register) Refresh(ctx context.Context) (int, error) {
-	value, err := json.Marshal(member{Domain: r.domain, Seen: r.now().UnixMilli()})
+func (r *Register) Refresh(ctx context.Context) ([]string, error) {
+	value, err := json.Marshal(member{Domain: r.domain, Address: r.address, Seen: r.now().UnixMilli()})
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	rows, err := r.table.Range(ctx, TableName, "", "")
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	tx := wire.TransactRequest{Writes: []wire.Write{{Table: TableName, Key: string(r.instance), Value: value}}}
-	alive := 1
+	peers := []string{}
 	for _, row := range rows {
 		if row.Key == string(r.instance) {
 			continue
 		}
 		var m member
 		if err := json.Unmarshal(row.Value, &m); err == nil && r.now().Sub(time.UnixMilli(m.Seen)) < staleAfter {
-			alive++
+			peers = append(peers, m.Address)
 			continue
 		}
 		if len(tx.Writes) <= maxPruned {
@@ -80,12 +83,12 @@
 	}
 	answer, err := r.table.Transact(ctx, tx)
 	if err != nil {
-		return alive, err
+		return peers, err
 	}
 	if !answer.Committed {
-		return alive, fmt.Errorf("a stale row was written anew")
+		return peers, fmt.Errorf("a stale row was written anew")
 	}
-	return alive, nil
+	return peers, nil
 }
 
 // Leave removes the instance's row.
--- a/serving/membership/members_test.go
+++ b/serving/membership/members_test.go
@@ -15,16 +15,16 @@
 	clock := func() time.Time { return now }
 	registers := map[string]*membership.Register{}
 	for _, name := range []string{"a", "b", "c"} {
-		registers[name] = membership.NewRegister(table, wire.InstanceName(name), "d", clock)
+		registers[name] = membership.NewRegister(table, wire.InstanceName(name), "d", name+":1", clock)
 		if _, err := registers[name].Refresh(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 	}
 	count := func(name string, want int) {
 		t.Helper()
-		got, err := registers[name].Refresh(t.Context())
-		if err != nil || got != want {
-			t.Errorf("%s counts %d, %v; want %d", name, got, err, want)
+		peers, err := registers[name].Refresh(t.Context())
+		if err != nil || len(peers)+1 != want {
+			t.Errorf("%s has the peers %v, %v; want %d", name, peers, err, want-1)
 		}
 	}
 	count("a", 3)
@@ -44,8 +44,8 @@
 func TestUnreadableMemberDoesNotHideTheOthers(t *testing.T) {
 	table := tabletest.New()
 	table.Commit(wire.TransactRequest{Writes: []wire.Write{{Table: membership.TableName, Key: "x", Value: []byte("{")}}})
-	r := membership.NewRegister(table, "a", "d", func() time.Time { return time.Unix(1e9, 0) })
-	if n, err := r.Refresh(t.Context()); n != 1 || err != nil {
-		t.Errorf("got %d, %v", n, err)
+	r := membership.NewRegister(table, "a", "d", "a:1", func() time.Time { return time.Unix(1e9, 0) })
+	if peers, err := r.Refresh(t.Context()); len(peers) != 0 || err != nil {
+		t.Errorf("got %v, %v", peers, err)
 	}
 }
--- a/serving/placement/prompt.go
+++ b/serving/placement/prompt.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// Shared returns the parts that other prompts may share: all but the last, or a single one.
+func (p *Prompt) Shared() []roster.PartID {
+	if n := len(p.IDs); n > 1 {
+		return p.IDs[:n-1]
+	}
+	return p.IDs
+}
+
 // Unread is the tokens that an endpoint which keeps the first kept parts has to prefill.
 func (p *Prompt) Unread(kept int) int {
 	n := p.Tokens
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -11,7 +11,7 @@
 
 // directTokens is how many unread tokens a decoding engine reads itself: about two pieces between the tokens of others,
 // which does not yet make their streams late.
-const directTokens = 2500
+const directTokens = 1500
 
 // chooseEngine returns the engine that generates. A long prompt is read by a prefill engine of the same failure domain
 // first.
@@ -50,9 +50,7 @@
 
 // prefill has the prompt read and tells whether its KV cache is there.
 func (j *job) prefill(ctx context.Context, e *roster.Endpoint) bool {
-	p := &j.request.Prompt
-	unread := p.Unread(e.Kept(p.IDs))
-	release := e.Begin(unread)
+	release := e.Begin(j.unread(e))
 	defer release()
 	a := j.attempt()
 	a.PrefillOnly = true
@@ -80,8 +78,21 @@
 		return false
 	}
 	e.Worked()
-	e.Learn(p.IDs)
+	j.learn(e)
 	j.source = &Source{Endpoint: e, Handle: handle}
 	j.decided("Prefilled", e, answer.Status, "", nil)
 	return true
 }
+
+// unread is the tokens of the prompt that an endpoint is thought to have to prefill.
+func (j *job) unread(e *roster.Endpoint) int {
+	return j.request.Prompt.Unread(e.Kept(j.request.Prompt.IDs, j.relay.clock.Now()))
+}
+
+// learn notes that an endpoint keeps the prompt's shared parts from now on, and tells the other instances if it is news.
+func (j *job) learn(e *roster.Endpoint) {
+	parts := j.request.Prompt.Shared()
+	if len(parts) > 0 && e.Learn(parts, j.relay.clock.Now()) {
+		j.relay.learned(e.Entry().ID, parts)
+	}
+}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -60,14 +60,27 @@
 	domain    wire.DomainName
 	bounds    BudgetBounds
 
+	// learned is told which parts of prompts an endpoint newly keeps.
+	learned func(id wire.EndpointId, parts []roster.PartID)
+
 	table   atomic.Pointer[route.Table]
 	mu      sync.Mutex
 	budgets map[wire.ServiceName]*retry.Budget
 }
 
+// Option changes a relay.
+type Option func(*Relay)
+
+// WithLearned sets what is told which parts of prompts an endpoint newly keeps.
+func WithLearned(learned func(id wire.EndpointId, parts []roster.PartID)) Option {
+	return func(r *Relay) {
+		r.learned = learned
+	}
+}
+
 // New returns a relay that refuses all requests until it has a table.
-func New(d *roster.Directory, s Sender, m Meter, o Observer, clock clockwork.Clock, domain wire.DomainName, bounds BudgetBounds) *Relay {
-	return &Relay{
+func New(d *roster.Directory, s Sender, m Meter, o Observer, clock clockwork.Clock, domain wire.DomainName, bounds BudgetBounds, opts ...Option) *Relay {
+	r := &Relay{
 		directory: d,
 		sender:    s,
 		meter:     m,
@@ -76,7 +89,12 @@
 		domain:    domain,
 		bounds:    bounds,
 		budgets:   map[wire.ServiceName]*retry.Budget{},
+		learned:   func(wire.EndpointId, []roster.PartID) {},
+	}
+	for _, opt := range opts {
+		opt(r)
 	}
+	return r
 }
 
 // SetTable puts a configuration in force unless a newer one is, and tells whether it did.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -51,7 +51,7 @@
 
 // sendTo sends the request once and tells whether the caller has its answer.
 func (j *job) sendTo(ctx context.Context, e *roster.Endpoint) bool {
-	unread := j.request.Prompt.Unread(e.Kept(j.request.Prompt.IDs))
+	unread := j.unread(e)
 	if j.source != nil {
 		unread = 0
 	}
@@ -78,7 +78,7 @@
 	}
 	j.runs++
 	j.source = nil
-	e.Learn(j.request.Prompt.IDs)
+	j.learn(e)
 	if j.route.Kind == route.Stream && a.Success() {
 		return j.stream(ctx, e, a)
 	}
--- a/serving/roster/cache.go
+++ b/serving/roster/cache.go
@@ -1,58 +1,77 @@
 package roster
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // PartID identifies one part of a prompt, together with all parts before it.
 type PartID uint64
 
-// rememberedParts bounds each of the two generations of a cache.
-const rememberedParts = 128
+// Bounds of what an endpoint is thought to keep.
+const (
+	// keptFor is how long a part is thought to be kept after its last use. An engine under load reads its whole memory anew in
+	// about that time.
+	keptFor = 30 * time.Second
+	// maxParts is how many parts are remembered before those that are no longer kept are dropped.
+	maxParts = 1024
+)
 
-// cache holds the parts of the prompts that this instance lately sent to an endpoint, as a guess of what its KV cache
-// keeps. Parts that are not used while a generation fills up are forgotten.
+// cache holds the parts of prompts that were lately sent to an endpoint, as a guess of what its KV cache keeps.
 type cache struct {
-	mu           sync.Mutex
-	newer, older map[PartID]struct{}
+	mu   sync.Mutex
+	used map[PartID]time.Time
 }
 
-func (c *cache) holds(id PartID) bool {
-	if _, ok := c.newer[id]; ok {
-		return true
-	}
-	_, ok := c.older[id]
-	return ok
+func (c *cache) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = nil
 }
 
-func (c *cache) learn(id PartID) {
-	if c.newer == nil || len(c.newer) >= rememberedParts {
-		c.older, c.newer = c.newer, map[PartID]struct{}{}
+func (c *cache) learn(parts []PartID, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.used == nil {
+		c.used = map[PartID]time.Time{}
+	}
+	fresh := false
+	for _, id := range parts {
+		fresh = fresh || now.Sub(c.used[id]) > keptFor/2
+		c.used[id] = now
 	}
-	c.newer[id] = struct{}{}
+	if len(c.used) > maxParts {
+		c.drop(now)
+	}
+	return fresh
 }
 
-func (c *cache) forget() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.newer, c.older = nil, nil
+// drop forgets what is no longer kept, or everything if that is too much still.
+func (c *cache) drop(now time.Time) {
+	for id, at := range c.used {
+		if now.Sub(at) > keptFor {
+			delete(c.used, id)
+		}
+	}
+	if len(c.used) > maxParts {
+		c.used = nil
+	}
 }
 
 // Kept counts the leading parts that the endpoint is thought to keep.
-func (e *Endpoint) Kept(parts []PartID) int {
+func (e *Endpoint) Kept(parts []PartID, now time.Time) int {
 	e.cache.mu.Lock()
 	defer e.cache.mu.Unlock()
 	for n, id := range parts {
-		if !e.cache.holds(id) {
+		at, known := e.cache.used[id]
+		if !known || now.Sub(at) > keptFor {
 			return n
 		}
 	}
 	return len(parts)
 }
 
-// Learn notes parts that the endpoint has been sent.
-func (e *Endpoint) Learn(parts []PartID) {
-	e.cache.mu.Lock()
-	defer e.cache.mu.Unlock()
-	for _, id := range parts {
-		e.cache.learn(id)
-	}
+// Learn notes parts that the endpoint has been sent, and tells whether that is news.
+func (e *Endpoint) Learn(parts []PartID, now time.Time) bool {
+	return e.cache.learn(parts, now)
 }
--- a/serving/roster/directory_test.go
+++ b/serving/roster/directory_test.go
@@ -49,11 +49,11 @@
 	d := roster.NewDirectory()
 	d.Put(entry("a", 1))
 	old := d.View().All()["a"]
-	old.Learn([]roster.PartID{1, 2})
+	old.Learn([]roster.PartID{1, 2}, start)
 	release := old.Begin(100)
 	d.Put(entry("a", 2))
 	born := d.View().All()["a"]
-	if born == old || born.Kept([]roster.PartID{1}) != 0 || born.InFlight() != 0 || old.Open(start) {
+	if born == old || born.Kept([]roster.PartID{1}, start) != 0 || born.InFlight() != 0 || old.Open(start) {
 		t.Error("the new incarnation has the old one's state")
 	}
 	release()
--- a/serving/roster/replica.go
+++ b/serving/roster/replica.go
@@ -54,8 +54,10 @@
 	inFlight atomic.Int64
 	// prefill is the tokens that this instance's requests still wait to have prefilled.
 	prefill atomic.Int64
-	failure failure
-	cache   cache
+	// peersInFlight and peersPrefill are the same of the other instances.
+	peersInFlight, peersPrefill atomic.Int64
+	failure                     failure
+	cache                       cache
 }
 
 // Entry returns what the platform listed last.
@@ -78,16 +80,32 @@
 	e.ordered.Store(t.UnixNano())
 }
 
-// InFlight counts this instance's requests at the endpoint.
+// InFlight counts the requests of all instances at the endpoint, as far as they are known.
 func (e *Endpoint) InFlight() int {
+	return int(e.inFlight.Load() + e.peersInFlight.Load())
+}
+
+// OwnInFlight counts this instance's requests at the endpoint.
+func (e *Endpoint) OwnInFlight() int {
 	return int(e.inFlight.Load())
 }
 
-// PrefillLoad is the tokens that this instance's requests wait to have prefilled there.
+// PrefillLoad is the tokens that requests of all instances wait to have prefilled there, as far as they are known.
 func (e *Endpoint) PrefillLoad() int {
+	return int(e.prefill.Load() + e.peersPrefill.Load())
+}
+
+// OwnPrefill is the tokens that this instance's requests wait to have prefilled there.
+func (e *Endpoint) OwnPrefill() int {
 	return int(e.prefill.Load())
 }
 
+// SetPeers notes what the other instances have under way at the endpoint.
+func (e *Endpoint) SetPeers(prefill, inFlight int) {
+	e.peersPrefill.Store(int64(prefill))
+	e.peersInFlight.Store(int64(inFlight))
+}
+
 // Begin counts a request with so many tokens to prefill; the function that it returns ends it, once.
 func (e *Endpoint) Begin(tokens int) func() {
 	e.inFlight.Add(1)
