Place prompts by the time until they are read, and keep the retry slack while instances come and go

Now: the engine with the least time for waiting and unread tokens, with an advantage for the first in rendezvous order; engines that reject are paused; the holder's orders are told to the peers; only prompts up to 1000 tokens in all are read directly; the slack is shared by the most instances alive in the last window, and is nothing until a new instance is known.

--- a/router/duties.go
+++ b/router/duties.go
@@ -11,6 +11,7 @@
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/fleet"
 	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/truetime"
@@ -61,6 +62,7 @@
 	directory *roster.Directory
 	logger    *log.Logger
 	settings  *platform.Settings
+	peers     *peerload.Reporter
 
 	incarnation wire.IncarnationId
 	holds       bool
@@ -70,7 +72,7 @@
 }
 
 func newDuties(s *platform.Settings, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, r *relay.Relay,
-	d *roster.Directory, incarnation wire.IncarnationId, logger *log.Logger) *duties {
+	d *roster.Directory, peers *peerload.Reporter, incarnation wire.IncarnationId, logger *log.Logger) *duties {
 	self := lease.Identity{Instance: s.Instance, Incarnation: incarnation}
 	keeper := lease.NewKeeper(dutyLease, self, store, bootClock{}, lease.WithTerm(s.Bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
 	x := &duties{
@@ -84,6 +86,7 @@
 		directory:   d,
 		logger:      logger,
 		settings:    s,
+		peers:       peers,
 		incarnation: incarnation,
 		scaled:      map[scaleKey]scaleOrder{},
 		scalers:     map[wire.ServiceName]*fleet.Scaler{},
@@ -206,6 +209,8 @@
 			return
 		}
 		x.staged[entry.Key] = now
+		c.Endpoint.Changing(c.To, now.Add(stageAgain))
+		x.peers.Ordered(entry.ID, c.To, now.Add(stageAgain))
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := x.client.ChangeStage(callCtx, a, entry, c.To)
 		cancel()
--- a/router/members.go
+++ b/router/members.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cowslipshunt.example/serving/membership"
-	"cowslipshunt.example/serving/relay"
 	"github.com/phuslu/log"
 )
 
@@ -16,8 +15,8 @@
 	leaveTimeout = 500 * time.Millisecond
 )
 
-// keepMembers refreshes the instance's row until ctx ends and divides the retry budget's slack by the instances alive.
-func keepMembers(ctx context.Context, register *membership.Register, r *relay.Relay, peers *peers, slack float64, logger *log.Logger) {
+// keepMembers refreshes the instance's row and the list of peers until ctx ends.
+func keepMembers(ctx context.Context, register *membership.Register, peers *peers, logger *log.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	known, next := 0, firstRefresh
@@ -40,9 +39,6 @@
 		if addresses != nil {
 			peers.setAddresses(addresses)
 		}
-		if addresses != nil && next != firstRefresh {
-			r.SetSlack(slack / float64(alive))
-		}
 		if alive != known {
 			logger.Info().Int("Alive", alive).Int("Before", known).Msg("Members")
 			known = alive
--- a/router/peers.go
+++ b/router/peers.go
@@ -101,7 +101,7 @@
 		}
 		to := p.addresses()
 		timer.Reset(max(reportEvery, time.Duration(len(to))*time.Second/maxReportsPerSecond))
-		report, changed := p.reporter.Next()
+		report, changed := p.reporter.Next(time.Now())
 		if !changed && time.Since(last) < reportAtLeast {
 			continue
 		}
--- a/router/serve.go
+++ b/router/serve.go
@@ -15,6 +15,7 @@
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/relay"
+	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/truetime"
 	"cowslipshunt.example/shared/link"
@@ -37,9 +38,6 @@
 // tidyEvery is how often idle connections and lapsed endpoints are looked at.
 const tidyEvery = 500 * time.Millisecond
 
-// expectedInstances divides the slack of the retry budget until the instances alive are counted: more than there are.
-const expectedInstances = 64
-
 // serve runs an instance until ctx ends.
 func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
 	signal.Ignore(syscall.SIGPIPE)
@@ -52,7 +50,7 @@
 	pool := link.NewPool[roster.Key](clock, link.Dial)
 	courier := platform.NewCourier(pool, clock)
 	counter := metering.NewCounter(s.Bounds.UsageWindow, agreed.Now)
-	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack / expectedInstances}
+	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	incarnation := wire.IncarnationId(uuid.NewString())
 	reporter := peerload.NewReporter(s.Instance, incarnation, s.PeerAddress, directory)
 	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(reporter.Used))
@@ -62,14 +60,15 @@
 	go followConfiguration(store, r, logger).run(work)
 	go followReplicas(store, directory, logger).run(work)
 	go writeUsage(work, store, agreed, counter, incarnation, logger)
-	x := newDuties(s, store, agreed, counter, r, directory, incarnation, logger)
+	x := newDuties(s, store, agreed, counter, r, directory, reporter, incarnation, logger)
 	go x.run(work)
 	peers, err := newPeers(work, s.PeerAddress, reporter, peerload.NewBoard(s.Instance, directory), logger)
 	if err != nil {
 		return err
 	}
 	register := membership.NewRegister(store, s.Instance, s.Domain, s.PeerAddress, agreed.Now)
-	go keepMembers(work, register, r, peers, s.Bounds.RetrySlack, logger)
+	go keepMembers(work, register, peers, logger)
+	share := retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, time.Now())
 
 	f := &front{relay: r, logger: logger}
 	idle := newIdleConns()
@@ -103,6 +102,7 @@
 			logger.Info().Msg("Reloaded")
 		case <-ticker.C:
 			tidy(directory, pool, f, idle, logger)
+			r.SetSlack(share.Slack(time.Now(), len(peers.addresses())+1))
 		case <-ctx.Done():
 			f.leaving.Store(true)
 			logger.Info().Msg("Stopping")
--- a/serving/fleet/plan.go
+++ b/serving/fleet/plan.go
@@ -24,7 +24,7 @@
 }
 
 // DefaultPolicy is the policy of services that set no other. The figures come from the days of docs/policy.md.
-var DefaultPolicy = Policy{Steady: 1, StandIns: 0.5, StandInBacklog: 5000, PrefillShare: 0.55}
+var DefaultPolicy = Policy{Steady: 1, StandIns: 0.5, StandInBacklog: 5000, PrefillShare: 0.65}
 
 // Change is an engine that should get another stage.
 type Change struct {
--- a/serving/peerload/board.go
+++ b/serving/peerload/board.go
@@ -11,6 +11,9 @@
 // silence is how long the loads of an instance count after its last report. Instances report at least every second.
 const silence = 2500 * time.Millisecond
 
+// changeHeld is how long one report keeps work from an engine that changes. The sender repeats it while it waits.
+const changeHeld = 1500 * time.Millisecond
+
 // Board keeps the newest report of each peer and sums them up for the endpoints. It is safe for concurrent use.
 type Board struct {
 	self      wire.InstanceName
@@ -48,7 +51,12 @@
 			e.Learn(u.Parts, now)
 		}
 	}
-	r.Uses = nil
+	for _, c := range r.Changes {
+		if e, listed := all[c.Endpoint]; listed {
+			e.Changing(c.To, now.Add(changeHeld))
+		}
+	}
+	r.Uses, r.Changes = nil, nil
 	b.peers[r.From] = &peer{report: r, at: now}
 	b.sum(all, now)
 }
--- a/serving/peerload/report.go
+++ b/serving/peerload/report.go
@@ -22,6 +22,12 @@
 	Parts    []roster.PartID
 }
 
+// Change is an order that takes an engine away until it has another stage.
+type Change struct {
+	Endpoint wire.EndpointId
+	To       roster.Stage
+}
+
 // Report is one instance's state. A later one has a higher Sequence and replaces the loads of those before.
 type Report struct {
 	From        wire.InstanceName
@@ -31,4 +37,5 @@
 	Address string
 	Loads   []Load
 	Uses    []Use
+	Changes []Change
 }
--- a/serving/peerload/reporter.go
+++ b/serving/peerload/reporter.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/wire"
@@ -25,11 +26,18 @@
 	last     []Load
 	fresh    []Use
 	repeated []Use
+	ordered  map[wire.EndpointId]ordered
+}
+
+// ordered is an order of this instance.
+type ordered struct {
+	to    roster.Stage
+	until time.Time
 }
 
 // NewReporter returns the reporter of an instance that takes reports at an address.
 func NewReporter(self wire.InstanceName, incarnation wire.IncarnationId, address string, d *roster.Directory) *Reporter {
-	return &Reporter{template: Report{From: self, Incarnation: incarnation, Address: address}, directory: d}
+	return &Reporter{template: Report{From: self, Incarnation: incarnation, Address: address}, directory: d, ordered: map[wire.EndpointId]ordered{}}
 }
 
 // Used notes that an endpoint was sent parts that it was not thought to keep.
@@ -43,21 +51,45 @@
 }
 
 // Next returns the next report, and whether it says anything that the last one did not.
-func (r *Reporter) Next() (Report, bool) {
+func (r *Reporter) Next(now time.Time) (Report, bool) {
 	loads := r.loads()
+	changes := r.changes(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := len(r.fresh) > 0 || len(r.repeated) > 0 || !slices.Equal(loads, r.last)
+	changed := len(changes) > 0 || len(r.fresh) > 0 || len(r.repeated) > 0 || !slices.Equal(loads, r.last)
 	report := r.template
 	r.sequence++
 	report.Sequence = r.sequence
 	report.Loads = loads
+	report.Changes = changes
 	report.Uses = append(slices.Clone(r.fresh), r.repeated...)
 	r.last = loads
 	r.repeated, r.fresh = r.fresh, nil
 	return report, changed
 }
 
+// changes returns the orders of this instance that may be under way.
+func (r *Reporter) changes(now time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Change
+	for id, c := range r.ordered {
+		if !now.Before(c.until) {
+			delete(r.ordered, id)
+			continue
+		}
+		list = append(list, Change{Endpoint: id, To: c.to})
+	}
+	return list
+}
+
+// Ordered notes that this instance has ordered an engine to another stage, which may take until a time.
+func (r *Reporter) Ordered(id wire.EndpointId, to roster.Stage, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ordered[id] = ordered{to: to, until: until}
+}
+
 func (r *Reporter) loads() []Load {
 	var loads []Load
 	for id, e := range r.directory.View().All() {
--- a/serving/placement/choose.go
+++ b/serving/placement/choose.go
@@ -37,88 +37,45 @@
 // farRequests is how many requests in flight weigh as much as the way to another failure domain.
 const farRequests = 2
 
-// LeastBusy returns the endpoint with the fewest of this instance's requests, with those of the preferred failure domain
-// first. Ties go by the request's draw. It returns nil if nothing suits.
+// LeastBusy returns the endpoint with the fewest requests, with those of the preferred failure domain first. Ties go by the
+// request's draw. It returns nil if nothing suits.
 func LeastBusy(suited []*roster.Endpoint, need Need, draw uint64) *roster.Endpoint {
-	var best *roster.Endpoint
-	bestCost, bestWeight := 0, uint64(0)
-	for _, e := range suited {
-		cost := e.InFlight()
+	return least(suited, draw, func(e *roster.Endpoint, _ int) float64 {
+		cost := float64(e.InFlight())
 		if e.Entry().Domain != need.Near {
 			cost += farRequests
 		}
-		weight := rendezvous(draw, e.Entry().ID)
-		if best == nil || cost < bestCost || cost == bestCost && weight > bestWeight {
-			best, bestCost, bestWeight = e, cost, weight
-		}
-	}
-	return best
-}
-
-// Bounds of the load that an endpoint takes by affinity before the next one in rendezvous order gets the request.
-const (
-	// loadFactor is how far above the mean an endpoint's load may be.
-	loadFactor = 1.5
-	// freePrefill is the load in tokens that always goes by affinity: about 80 ms of prefill.
-	freePrefill = 4096
-	// freeRequests is the same for requests in flight at one instance.
-	freeRequests = 4
-)
-
-// ByPrefix returns the endpoint that prefills a prompt: the first in rendezvous order of the shared parts whose load is
-// bounded. All instances order alike, so that the shared parts are read at few endpoints.
-func ByPrefix(suited []*roster.Endpoint, p *Prompt, need Need) *roster.Endpoint {
-	return bounded(suited, p, need, func(e *roster.Endpoint) float64 { return float64(e.PrefillLoad()) }, freePrefill)
-}
-
-// ByPrefixToDecode returns the endpoint that generates: the first in rendezvous order with a bounded number of requests.
-func ByPrefixToDecode(suited []*roster.Endpoint, p *Prompt, need Need) *roster.Endpoint {
-	return bounded(suited, p, need, func(e *roster.Endpoint) float64 { return float64(e.InFlight()) }, freeRequests)
+		return cost
+	})
 }
 
-func bounded(suited []*roster.Endpoint, p *Prompt, need Need, load func(*roster.Endpoint) float64, free float64) *roster.Endpoint {
-	if len(suited) == 0 {
-		return nil
+// least returns the endpoint with the least cost, which may go by the endpoint's place in the rendezvous order of a key: 0
+// is the first. Ties go by that order.
+func least(suited []*roster.Endpoint, key uint64, cost func(e *roster.Endpoint, place int) float64) *roster.Endpoint {
+	type ranked struct {
+		e      *roster.Endpoint
+		weight uint64
 	}
-	total := 0.0
+	order := make([]ranked, 0, len(suited))
 	for _, e := range suited {
-		total += load(e)
+		order = append(order, ranked{e: e, weight: rendezvous(key, e.Entry().ID)})
 	}
-	bound := max(free, loadFactor*total/float64(len(suited)))
-	var best, least *roster.Endpoint
-	var bestWeight uint64
-	for _, e := range suited {
-		l := load(e)
-		if least == nil || l < load(least) {
-			least = e
-		}
-		if l > bound {
-			continue
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.weight > b.weight {
+			return -1
 		}
-		if weight := rendezvous(uint64(p.Anchor()), e.Entry().ID); best == nil || weight > bestWeight {
-			best, bestWeight = e, weight
+		return 1
+	})
+	var best *roster.Endpoint
+	bestCost := 0.0
+	for place, r := range order {
+		if c := cost(r.e, place); best == nil || c < bestCost {
+			best, bestCost = r.e, c
 		}
 	}
-	if best == nil {
-		return least
-	}
 	return best
 }
 
-// InDomain returns the endpoints of a failure domain, or all if it has none.
-func InDomain(suited []*roster.Endpoint, domain wire.DomainName) []*roster.Endpoint {
-	var near []*roster.Endpoint
-	for _, e := range suited {
-		if e.Entry().Domain == domain {
-			near = append(near, e)
-		}
-	}
-	if len(near) == 0 {
-		return suited
-	}
-	return near
-}
-
 // rendezvous weighs an endpoint for a key; the highest weight is first.
 func rendezvous(key uint64, id wire.EndpointId) uint64 {
 	digest := xxhash.New()
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -3,49 +3,61 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"cowslipshunt.example/serving/placement"
 	"cowslipshunt.example/serving/roster"
-	"cowslipshunt.example/wire"
 )
 
-// directTokens is how many unread tokens a decoding engine reads itself: about two pieces between the tokens of others,
-// which does not yet make their streams late.
-const directTokens = 1500
+// Bounds of what a decoding engine reads itself, between the tokens of the streams that it generates.
+const (
+	// directTokens does not make those streams late.
+	directTokens = 1000
+	// maxDirectTokens may, which only pays if the prefill engines would be slower by directGain.
+	maxDirectTokens = 1000
+	directGain      = 250 * time.Millisecond
+)
 
-// chooseEngine returns the engine that generates. A long prompt is read by a prefill engine of the same failure domain
-// first.
+// prefillTries bounds the prefill engines that are asked before the decoding engine reads the prompt itself.
+const prefillTries = 2
+
+// chooseEngine returns the engine that generates. A long prompt is read by a prefill engine first.
 func (j *job) chooseEngine(ctx context.Context) *roster.Endpoint {
-	p := &j.request.Prompt
-	decode := j.endpoints(j.need(roster.Decode))
-	if p.Tokens <= directTokens || j.lastEvent != "" || j.source != nil {
-		return j.chooseDecode(decode, j.relay.domain)
-	}
-	need := j.need(roster.Prefill)
 	for range prefillTries {
-		e := placement.ByPrefix(j.endpoints(need), p, need)
-		if e == nil {
-			break
+		decoder, direct := j.decoder()
+		if j.lastEvent != "" || j.source != nil {
+			return decoder
+		}
+		need := j.need(roster.Prefill)
+		reader, apart := placement.Reader(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
+		if reader == nil || decoder != nil && j.readsItself(decoder, direct, apart) {
+			return decoder
 		}
 		if !j.maySend() {
-			break
+			return decoder
 		}
-		if j.prefill(ctx, e) {
-			return j.chooseDecode(j.endpoints(j.need(roster.Decode)), e.Entry().Domain)
+		if j.prefill(ctx, reader) {
+			return placement.Taker(j.endpoints(j.need(roster.Decode)), &j.request.Prompt, reader.Entry().Domain)
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
-		need.Not = j.not
 	}
-	return j.chooseDecode(decode, j.relay.domain)
+	decoder, _ := j.decoder()
+	return decoder
 }
 
-// prefillTries bounds the prefill engines that are asked before the decoding engine reads the prompt itself.
-const prefillTries = 2
+// decoder returns the engine that would generate first without help, and when.
+func (j *job) decoder() (*roster.Endpoint, time.Duration) {
+	need := j.need(roster.Decode)
+	return placement.Decoder(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
+}
 
-func (j *job) chooseDecode(decode []*roster.Endpoint, near wire.DomainName) *roster.Endpoint {
-	return placement.ByPrefixToDecode(placement.InDomain(decode, near), &j.request.Prompt, j.need(roster.Decode))
+// readsItself tells whether a decoding engine should read the prompt itself, given the times until the prompt is read there
+// and apart.
+func (j *job) readsItself(decoder *roster.Endpoint, direct, apart time.Duration) bool {
+	unread := j.request.Prompt.Tokens
+	return unread <= directTokens || unread <= maxDirectTokens && direct+directGain < apart
 }
 
 // prefill has the prompt read and tells whether its KV cache is there.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -90,6 +90,8 @@
 	j.not = append(j.not, e.Entry().ID)
 	if a.Misdirected {
 		e.Failed(j.relay.clock.Now())
+	} else {
+		e.Rejected(j.relay.clock.Now())
 	}
 	if j.source != nil {
 		j.freeSource()
--- a/serving/roster/directory.go
+++ b/serving/roster/directory.go
@@ -89,9 +89,6 @@
 		e = &Endpoint{}
 		d.entries[entry.ID] = e
 	}
-	if old := e.Entry(); old != nil && old.Stage != entry.Stage {
-		e.ordered.Store(0)
-	}
 	e.entry.Store(&entry)
 	d.publish()
 	return true
--- a/serving/roster/replica.go
+++ b/serving/roster/replica.go
@@ -49,8 +49,8 @@
 type Endpoint struct {
 	entry   atomic.Pointer[Entry]
 	removed atomic.Bool
-	// ordered is until when an order that takes the endpoint away may be under way, in Unix nanoseconds.
-	ordered  atomic.Int64
+	// away is set while an order takes the endpoint away.
+	away     atomic.Pointer[away]
 	inFlight atomic.Int64
 	// prefill is the tokens that this instance's requests still wait to have prefilled.
 	prefill atomic.Int64
@@ -60,6 +60,12 @@
 	cache                       cache
 }
 
+// away is an order to another stage that may be under way until a time.
+type away struct {
+	to    Stage
+	until time.Time
+}
+
 // Entry returns what the platform listed last.
 func (e *Endpoint) Entry() *Entry {
 	return e.entry.Load()
@@ -67,7 +73,7 @@
 
 // Open tells whether new work may go to the endpoint at now.
 func (e *Endpoint) Open(now time.Time) bool {
-	return !e.removed.Load() && !e.Entry().Leaving && !e.failure.paused(now) && now.UnixNano() >= e.ordered.Load()
+	return !e.removed.Load() && !e.Entry().Leaving && !e.failure.paused(now) && !e.isAway(now)
 }
 
 // Listed tells whether the endpoint is in the newest view.
@@ -75,9 +81,23 @@
 	return !e.removed.Load()
 }
 
-// CloseUntil keeps new work away while an order takes the endpoint away.
-func (e *Endpoint) CloseUntil(t time.Time) {
-	e.ordered.Store(t.UnixNano())
+// Changing keeps new work away until the platform lists the endpoint in the stage that it was ordered to, at most until a
+// time.
+func (e *Endpoint) Changing(to Stage, until time.Time) {
+	e.away.Store(&away{to: to, until: until})
+}
+
+// ChangingTo returns the stage that the endpoint was ordered to, if the order may be under way at now.
+func (e *Endpoint) ChangingTo(now time.Time) (Stage, bool) {
+	if !e.isAway(now) {
+		return NoStage, false
+	}
+	return e.away.Load().to, true
+}
+
+func (e *Endpoint) isAway(now time.Time) bool {
+	a := e.away.Load()
+	return a != nil && now.Before(a.until) && e.Entry().Stage != a.to
 }
 
 // InFlight counts the requests of all instances at the endpoint, as far as they are known.
@@ -126,6 +146,12 @@
 	e.cache.forget()
 }
 
+// Rejected notes that the endpoint did not run a request, for it is full or away. It is paused like one that failed, as it
+// would otherwise look idle, but it keeps what it holds.
+func (e *Endpoint) Rejected(now time.Time) {
+	e.failure.failed(now)
+}
+
 // Worked notes that the endpoint answered.
 func (e *Endpoint) Worked() {
 	e.failure.worked()
