Freeze usage windows when their counts are complete, and let no late write take counts back

A stop lost the counts of its last second.

Now: a window is frozen once each instance that wrote of it or of the one before has written of the next, at the latest 7 s after its end; each write of counts names the revision that it replaces; a stop writes the counts and releases the lease.

TestLateWriteDoesNotTakeCountsBack was red before the condition ({a:6} for 7).

--- a/router/duties.go
+++ b/router/duties.go
@@ -27,6 +27,8 @@
 	dutyEvery = 500 * time.Millisecond
 	// orderTimeout bounds an order or a call to the platform; the lease has to be held for at least as long.
 	orderTimeout = 700 * time.Millisecond
+	// settleParts is how many tenths of the time until a report is due the counts of a window are waited for.
+	settleParts = 7
 	// scaleAgain is how often an order of endpoints is repeated while fewer are listed than wanted.
 	scaleAgain = 3 * time.Second
 	// stageAgain is how long an engine has to show the stage it was ordered to before the order is repeated.
@@ -64,35 +66,32 @@
 	settings  *platform.Settings
 	peers     *peerload.Reporter
 
-	incarnation wire.IncarnationId
-	holds       bool
-	scaled      map[scaleKey]scaleOrder
-	scalers     map[wire.ServiceName]*fleet.Scaler
-	staged      map[roster.Key]time.Time
+	holds   bool
+	scaled  map[scaleKey]scaleOrder
+	scalers map[wire.ServiceName]*fleet.Scaler
+	staged  map[roster.Key]time.Time
 }
 
 func newDuties(s *platform.Settings, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, r *relay.Relay,
-	d *roster.Directory, peers *peerload.Reporter, incarnation wire.IncarnationId, logger *log.Logger) *duties {
-	self := lease.Identity{Instance: s.Instance, Incarnation: incarnation}
+	d *roster.Directory, peers *peerload.Reporter, self lease.Identity, logger *log.Logger) *duties {
 	keeper := lease.NewKeeper(dutyLease, self, store, bootClock{}, lease.WithTerm(s.Bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
 	x := &duties{
-		instance:    s.Instance,
-		keeper:      keeper,
-		client:      platform.NewDuties(s.DutyAddress, link.DialFunc(keeper.GuardedDial(link.Dial))),
-		counter:     counter,
-		store:       store,
-		clock:       clock,
-		relay:       r,
-		directory:   d,
-		logger:      logger,
-		settings:    s,
-		peers:       peers,
-		incarnation: incarnation,
-		scaled:      map[scaleKey]scaleOrder{},
-		scalers:     map[wire.ServiceName]*fleet.Scaler{},
-		staged:      map[roster.Key]time.Time{},
+		instance:  s.Instance,
+		keeper:    keeper,
+		client:    platform.NewDuties(s.DutyAddress, link.DialFunc(keeper.GuardedDial(link.Dial))),
+		counter:   counter,
+		store:     store,
+		clock:     clock,
+		relay:     r,
+		directory: d,
+		logger:    logger,
+		settings:  s,
+		peers:     peers,
+		scaled:    map[scaleKey]scaleOrder{},
+		scalers:   map[wire.ServiceName]*fleet.Scaler{},
+		staged:    map[roster.Key]time.Time{},
 	}
-	x.reporter = metering.NewReporter(store, keeper, x, counter, s.Bounds.UsageDue/2, metering.WithLate(x.usageLate))
+	x.reporter = metering.NewReporter(store, keeper, x, counter, s.Bounds.UsageDue*settleParts/10, metering.WithLate(x.usageLate))
 	return x
 }
 
@@ -104,6 +103,11 @@
 		x.step(ctx)
 		select {
 		case <-ctx.Done():
+			lastCtx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+			defer cancel()
+			if err := x.keeper.Release(lastCtx); err != nil {
+				x.logger.Warn().Str("Lease", string(dutyLease)).Err(err).Msg("LeaseNotReleased")
+			}
 			return
 		case <-ticker.C:
 		}
--- a/router/serve.go
+++ b/router/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/truetime"
+	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/process"
 	"cowslipshunt.example/wire"
@@ -31,8 +33,8 @@
 	// leaveTime is how long new connections still come after the instance is no longer ready: the platform asks once a second
 	// and believes the second miss.
 	leaveTime = 2500 * time.Millisecond
-	// stopMargin is left of the grace for the end of the process.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is left of the grace for the last writes to the store.
+	stopMargin = time.Second
 )
 
 // tidyEvery is how often idle connections and lapsed endpoints are looked at.
@@ -51,23 +53,25 @@
 	courier := platform.NewCourier(pool, clock)
 	counter := metering.NewCounter(s.Bounds.UsageWindow, agreed.Now)
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
-	incarnation := wire.IncarnationId(uuid.NewString())
-	reporter := peerload.NewReporter(s.Instance, incarnation, s.PeerAddress, directory)
+	self := lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())}
+	reporter := peerload.NewReporter(s.Instance, self.Incarnation, s.PeerAddress, directory)
 	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(reporter.Used))
 
 	work, stopWork := context.WithCancel(process.Hard(ctx))
-	defer stopWork()
 	go followConfiguration(store, r, logger).run(work)
 	go followReplicas(store, directory, logger).run(work)
-	go writeUsage(work, store, agreed, counter, incarnation, logger)
-	x := newDuties(s, store, agreed, counter, r, directory, reporter, incarnation, logger)
-	go x.run(work)
+	var last sync.WaitGroup
+	defer last.Wait()
+	defer stopWork()
+	last.Go(func() { writeUsage(work, store, agreed, counter, self, logger) })
+	x := newDuties(s, store, agreed, counter, r, directory, reporter, self, logger)
+	last.Go(func() { x.run(work) })
 	peers, err := newPeers(work, s.PeerAddress, reporter, peerload.NewBoard(s.Instance, directory), logger)
 	if err != nil {
 		return err
 	}
 	register := membership.NewRegister(store, s.Instance, s.Domain, s.PeerAddress, agreed.Now)
-	go keepMembers(work, register, peers, logger)
+	last.Go(func() { keepMembers(work, register, peers, logger) })
 	share := retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, time.Now())
 
 	f := &front{relay: r, logger: logger}
--- a/router/usage.go
+++ b/router/usage.go
@@ -7,7 +7,7 @@
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/truetime"
-	"cowslipshunt.example/wire"
+	"cowslipshunt.example/shared/lease"
 	"github.com/phuslu/log"
 )
 
@@ -19,21 +19,24 @@
 	forgetAfter = 30 * time.Second
 )
 
-// writeUsage writes the counts of this incarnation until ctx ends, and agrees on the time first.
-func writeUsage(ctx context.Context, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, incarnation wire.IncarnationId, logger *log.Logger) {
+// writeUsage writes the counts of this incarnation until ctx ends and once more then, and agrees on the time first.
+func writeUsage(ctx context.Context, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, self lease.Identity, logger *log.Logger) {
 	ticker := time.NewTicker(writeEvery)
 	defer ticker.Stop()
 	for {
-		flushUsage(ctx, store, clock, counter, incarnation, logger)
+		flushUsage(ctx, store, clock, counter, self, logger)
 		select {
 		case <-ctx.Done():
+			lastCtx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+			defer cancel()
+			flushUsage(lastCtx, store, clock, counter, self, logger)
 			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func flushUsage(ctx context.Context, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, incarnation wire.IncarnationId, logger *log.Logger) {
+func flushUsage(ctx context.Context, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, self lease.Identity, logger *log.Logger) {
 	if !clock.Agreed() {
 		if err := clock.Agree(ctx, store); err != nil {
 			logger.Warn().Err(err).Msg("TimeNotAgreed")
@@ -41,7 +44,7 @@
 		}
 		logger.Info().Time("Now", clock.Now()).Msg("TimeAgreed")
 	}
-	if err := counter.Write(ctx, store, incarnation); err != nil {
+	if err := counter.Write(ctx, store, self.Instance, self.Incarnation); err != nil {
 		logger.Warn().Err(err).Msg("UsageNotWritten")
 		return
 	}
--- a/serving/metering/counter.go
+++ b/serving/metering/counter.go
@@ -30,11 +30,13 @@
 	mu      sync.Mutex
 	windows map[Window]Counts
 	dirty   map[Window]bool
+	// revisions are those of the rows in the store, 0 for none.
+	revisions map[Window]wire.Revision
 }
 
 // NewCounter returns a counter for windows of a length; now returns true time.
 func NewCounter(length time.Duration, now func() time.Time) *Counter {
-	return &Counter{length: length, now: now, windows: map[Window]Counts{}, dirty: map[Window]bool{}}
+	return &Counter{length: length, now: now, windows: map[Window]Counts{}, dirty: map[Window]bool{}, revisions: map[Window]wire.Revision{}}
 }
 
 // At returns the window of a moment.
@@ -73,11 +75,12 @@
 	return list
 }
 
-// Written marks counts as written; a window that has risen meanwhile stays dirty.
-func (c *Counter) Written(written map[Window]Counts) {
+// Written marks counts as written at a revision; a window that has risen meanwhile stays dirty.
+func (c *Counter) Written(written map[Window]Counts, revision wire.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for w, counts := range written {
+		c.revisions[w] = revision
 		if maps.Equal(c.windows[w], counts) {
 			delete(c.dirty, w)
 		}
@@ -91,6 +94,19 @@
 	for w := range c.windows {
 		if !c.dirty[w] && c.End(w).Before(before) {
 			delete(c.windows, w)
+			delete(c.revisions, w)
 		}
 	}
 }
+
+func (c *Counter) revision(w Window) wire.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revisions[w]
+}
+
+func (c *Counter) setRevision(w Window, revision wire.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revisions[w] = revision
+}
--- a/serving/metering/counter_test.go
+++ b/serving/metering/counter_test.go
@@ -34,7 +34,7 @@
 	c.Began("a")
 	written := c.Dirty()
 	c.Began("a")
-	c.Written(written)
+	c.Written(written, 1)
 	if c.Dirty()[c.At(now)]["a"] != 2 {
 		t.Error("a count that rose meanwhile was taken for written")
 	}
@@ -46,16 +46,46 @@
 	c := metering.NewCounter(length, func() time.Time { return now })
 	c.Began("a")
 	table.Fault = func() tabletest.Fault { return tabletest.Refused }
-	if err := c.Write(t.Context(), table, "i"); err == nil {
+	if err := c.Write(t.Context(), table, "i", "1"); err == nil {
 		t.Fatal("a refused write was no error")
 	}
 	now = now.Add(time.Hour)
 	c.Forget(now)
 	table.Fault = func() tabletest.Fault { return tabletest.None }
-	if err := c.Write(t.Context(), table, "i"); err != nil {
+	if err := c.Write(t.Context(), table, "i", "1"); err != nil {
 		t.Fatal(err)
 	}
 	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != `{"a":1}` {
 		t.Errorf("got %v", rows)
 	}
 }
+
+// TestLateWriteDoesNotTakeCountsBack lets a write take effect after a newer one.
+func TestLateWriteDoesNotTakeCountsBack(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	table := tabletest.New()
+	c := metering.NewCounter(length, func() time.Time { return now })
+	write := func(fault tabletest.Fault) {
+		c.Began("a")
+		table.Fault = func() tabletest.Fault { return fault }
+		err := c.Write(t.Context(), table, "i", "1")
+		if (err != nil) != (fault != tabletest.None) {
+			t.Fatal(err)
+		}
+	}
+	write(tabletest.None)
+	write(tabletest.Late)
+	write(tabletest.None)
+	table.DeliverLate()
+	write(tabletest.Lost)
+	write(tabletest.None)
+	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != `{"a":5}` {
+		t.Errorf("got %s", rows[0].Value)
+	}
+	write(tabletest.Late)
+	write(tabletest.None)
+	table.DeliverLate()
+	if rows := table.Rows(metering.CountTable, ""); string(rows[0].Value) != `{"a":7}` {
+		t.Errorf("a late write took counts back: %s", rows[0].Value)
+	}
+}
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -27,6 +28,8 @@
 const (
 	// reportTimeout bounds one report; the lease has to be held for at least as long.
 	reportTimeout = 700 * time.Millisecond
+	// leastSettle is how long after a window's end it is frozen at the earliest: each instance has written its counts by then.
+	leastSettle = 1200 * time.Millisecond
 	// keptWindows is how many reported windows stay in the store, for questions.
 	keptWindows = 12
 	// maxRemoved bounds the rows that one transaction removes.
@@ -35,9 +38,11 @@
 
 // windowRow is a frozen window in the store.
 type windowRow struct {
-	Window   Window
-	Counts   Counts
-	Epoch    wire.Epoch
+	Window Window
+	Counts Counts
+	Epoch  wire.Epoch
+	// Writers are the instances that wrote counts of the window.
+	Writers  []wire.InstanceName
 	Reported bool
 }
 
@@ -55,7 +60,7 @@
 	fence    Fence
 	platform Platform
 	counter  *Counter
-	// settle is how long after a window's end its counts are summed.
+	// settle is how long after a window's end it is frozen although counts may be missing.
 	settle time.Duration
 	// late is told of counts that came after their window was frozen. They are not reported: a window has one set of counts.
 	late func(w Window, counts Counts)
@@ -65,6 +70,8 @@
 	next   Window
 	open   []frozen
 	kept   []Window
+	// writers are the instances that wrote counts of the window that was frozen last, nil if that is not known.
+	writers map[wire.InstanceName]bool
 }
 
 // Option changes a reporter.
@@ -77,7 +84,7 @@
 	}
 }
 
-// NewReporter returns a reporter that sums a window's counts settle after its end.
+// NewReporter returns a reporter that freezes a window at the latest settle after its end.
 func NewReporter(t Table, f Fence, p Platform, c *Counter, settle time.Duration, opts ...Option) *Reporter {
 	r := &Reporter{table: t, fence: f, platform: p, counter: c, settle: settle, late: func(Window, Counts) {}}
 	for _, opt := range opts {
@@ -112,13 +119,17 @@
 	if err != nil {
 		return err
 	}
-	r.open, r.kept, r.next = nil, nil, 0
+	r.open, r.kept, r.next, r.writers = nil, nil, 0, nil
 	for _, row := range rows {
 		var w windowRow
 		if err := json.Unmarshal(row.Value, &w); err != nil {
 			return fmt.Errorf("decode window %s: %w", row.Key, err)
 		}
 		r.next = w.Window + 1
+		r.writers = map[wire.InstanceName]bool{}
+		for _, instance := range w.Writers {
+			r.writers[instance] = true
+		}
 		if w.Reported {
 			r.kept = append(r.kept, w.Window)
 			continue
@@ -128,18 +139,27 @@
 	return nil
 }
 
-// freezeSettled freezes each window that ended at least settle ago.
+// freezeSettled freezes the windows whose counts are complete, or that ended at least settle ago.
 func (r *Reporter) freezeSettled(ctx context.Context) error {
-	last := r.counter.At(r.counter.now().Add(-r.settle)) - 1
+	now := r.counter.now()
+	last := r.counter.At(now.Add(-leastSettle)) - 1
 	if r.next == 0 {
 		if err := r.findFirst(ctx); err != nil {
 			return err
 		}
 	}
 	for r.next != 0 && r.next <= last {
-		if err := r.freeze(ctx, r.next); err != nil {
+		sum, err := r.sum(ctx, r.next)
+		if err != nil {
+			return err
+		}
+		if !sum.complete(r.writers) && now.Before(r.counter.End(r.next).Add(r.settle)) {
+			return nil
+		}
+		if err := r.freeze(ctx, sum); err != nil {
 			return err
 		}
+		r.writers = sum.writers
 		r.next++
 	}
 	return nil
@@ -151,52 +171,96 @@
 	if err != nil || len(rows) == 0 {
 		return err
 	}
-	first, err := parseWindow(rows[0].Key)
+	first, _, err := parseKey(rows[0].Key)
 	r.next = first
 	return err
 }
 
-// freeze sums a window's counts and writes them once. From then on the window has these counts, whoever reports it.
-func (r *Reporter) freeze(ctx context.Context, w Window) error {
-	rows, err := r.table.Range(ctx, CountTable, "", windowKey(w+1))
+// windowSum is what the store holds of a window's counts.
+type windowSum struct {
+	window  Window
+	counts  Counts
+	sources []string
+	// writers are the instances that wrote counts of the window, after those that wrote of the next one: they have written
+	// all of this one.
+	writers, after map[wire.InstanceName]bool
+	late           map[Window]Counts
+}
+
+// complete tells whether all that wrote counts of this window or the one before have gone on to the next. Nobody is known to
+// have if the writers of the one before are not.
+func (s *windowSum) complete(before map[wire.InstanceName]bool) bool {
+	for _, writers := range []map[wire.InstanceName]bool{before, s.writers} {
+		for instance := range writers {
+			if !s.after[instance] {
+				return false
+			}
+		}
+	}
+	return before != nil
+}
+
+// sum reads the counts of a window, and those that came too late for an earlier one.
+func (r *Reporter) sum(ctx context.Context, w Window) (*windowSum, error) {
+	rows, err := r.table.Range(ctx, CountTable, "", windowKey(w+2))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	s := &windowSum{
+		window:  w,
+		counts:  Counts{},
+		writers: map[wire.InstanceName]bool{},
+		after:   map[wire.InstanceName]bool{},
+		late:    map[Window]Counts{},
 	}
-	f := frozen{row: windowRow{Window: w, Counts: Counts{}, Epoch: r.epoch}}
 	for _, row := range rows {
-		of, counts, err := decodeCounts(row)
+		of, instance, counts, err := decodeCounts(row)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		f.sources = append(f.sources, row.Key)
+		if of > w {
+			s.after[instance] = true
+			continue
+		}
+		s.sources = append(s.sources, row.Key)
 		if of < w {
-			r.late(of, counts)
+			s.late[of] = counts
 			continue
 		}
-		f.row.Counts.Add(counts)
+		s.writers[instance] = true
+		s.counts.Add(counts)
 	}
+	return s, nil
+}
+
+// freeze writes a window's counts once. From then on the window has these counts, whoever reports it.
+func (r *Reporter) freeze(ctx context.Context, s *windowSum) error {
+	f := frozen{row: windowRow{Window: s.window, Counts: s.counts, Epoch: r.epoch, Writers: slices.Sorted(maps.Keys(s.writers))}, sources: s.sources}
 	answer, err := r.put(ctx, f.row, 0, nil)
 	if err != nil {
 		return err
 	}
 	if !answer.Committed {
-		return fmt.Errorf("window %d is frozen already", w)
+		return fmt.Errorf("window %d is frozen already", s.window)
+	}
+	for w, counts := range s.late {
+		r.late(w, counts)
 	}
 	f.revision = answer.Revision
 	r.open = append(r.open, f)
 	return nil
 }
 
-func decodeCounts(row wire.Row) (Window, Counts, error) {
-	w, err := parseWindow(row.Key)
+func decodeCounts(row wire.Row) (Window, wire.InstanceName, Counts, error) {
+	w, instance, err := parseKey(row.Key)
 	if err != nil {
-		return 0, nil, fmt.Errorf("decode the key of counts %s: %w", row.Key, err)
+		return 0, "", nil, fmt.Errorf("decode the key of counts %s: %w", row.Key, err)
 	}
 	var counts Counts
 	if err := json.Unmarshal(row.Value, &counts); err != nil {
-		return 0, nil, fmt.Errorf("decode counts %s: %w", row.Key, err)
+		return 0, "", nil, fmt.Errorf("decode counts %s: %w", row.Key, err)
 	}
-	return w, counts, nil
+	return w, instance, counts, nil
 }
 
 func (r *Reporter) put(ctx context.Context, row windowRow, revision wire.Revision, remove []wire.Write) (wire.TransactAnswer, error) {
--- a/serving/metering/reporter_test.go
+++ b/serving/metering/reporter_test.go
@@ -50,6 +50,7 @@
 
 // instance is one process with its counts and its part in the duties.
 type instance struct {
+	instance wire.InstanceName
 	name     wire.IncarnationId
 	counter  *metering.Counter
 	keeper   *lease.Keeper
@@ -77,7 +78,7 @@
 	m.platform = &platform{t: t, reports: map[metering.Window]metering.Counts{}}
 	m.platform.fails = func() bool { return !m.calm && rapid.IntRange(0, 3).Draw(t, "report") == 0 }
 	for range 3 {
-		m.instances = append(m.instances, m.start())
+		m.instances = append(m.instances, m.start(len(m.instances)))
 	}
 	return m
 }
@@ -86,14 +87,14 @@
 	if m.calm {
 		return tabletest.None
 	}
-	return rapid.SampledFrom([]tabletest.Fault{tabletest.None, tabletest.None, tabletest.None, tabletest.Refused, tabletest.Lost}).Draw(m.t, "fault")
+	return rapid.SampledFrom([]tabletest.Fault{tabletest.None, tabletest.None, tabletest.None, tabletest.Refused, tabletest.Lost, tabletest.Late}).Draw(m.t, "fault")
 }
 
-func (m *usageModel) start() *instance {
+func (m *usageModel) start(n int) *instance {
 	m.started++
-	i := &instance{name: wire.IncarnationId(fmt.Sprint(m.started))}
+	i := &instance{instance: wire.InstanceName(fmt.Sprint("machine", n)), name: wire.IncarnationId(fmt.Sprint(m.started))}
 	i.counter = metering.NewCounter(length, m.clock.Now)
-	self := lease.Identity{Instance: wire.InstanceName(i.name), Incarnation: i.name}
+	self := lease.Identity{Instance: i.instance, Incarnation: i.name}
 	i.keeper = lease.NewKeeper("duties", self, m.table, m.clock)
 	i.reporter = metering.NewReporter(m.table, i.keeper, m.platform, i.counter, settle,
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }))
@@ -106,14 +107,14 @@
 }
 
 func (m *usageModel) step(i *instance) {
-	_ = i.counter.Write(m.t.Context(), m.table, i.name)
+	_ = i.counter.Write(m.t.Context(), m.table, i.instance, i.name)
 	_ = i.keeper.Step(m.t.Context())
 	_ = i.reporter.Step(m.t.Context())
 }
 
 // kill starts a new incarnation in place of one; what that had not written is lost.
 func (m *usageModel) kill(n int) {
-	m.instances[n] = m.start()
+	m.instances[n] = m.start(n)
 }
 
 func (m *usageModel) run(d time.Duration) {
@@ -138,6 +139,7 @@
 				}
 			},
 			"run":  func(*rapid.T) { m.run(time.Duration(rapid.IntRange(1, 4).Draw(t, "seconds")) * time.Second) },
+			"late": func(*rapid.T) { m.table.DeliverLate() },
 			"kill": func(*rapid.T) { m.kill(pick()) },
 		})
 		m.calm = true
--- a/serving/metering/rows.go
+++ b/serving/metering/rows.go
@@ -29,34 +29,71 @@
 	return fmt.Sprintf("%012d", w)
 }
 
-func parseWindow(key string) (Window, error) {
-	number, _, _ := strings.Cut(key, "/")
+// countKey names the row of one incarnation's counts of a window.
+func countKey(w Window, instance wire.InstanceName, incarnation wire.IncarnationId) string {
+	return windowKey(w) + "/" + string(instance) + "/" + string(incarnation)
+}
+
+// parseKey reads the window and the instance of a row of counts.
+func parseKey(key string) (Window, wire.InstanceName, error) {
+	number, rest, _ := strings.Cut(key, "/")
+	instance, _, _ := strings.Cut(rest, "/")
 	n, err := strconv.ParseInt(number, 10, 64)
-	return Window(n), err
+	return Window(n), wire.InstanceName(instance), err
 }
 
-// Write puts one incarnation's counts of the windows that have risen into the store. Counts only rise, so a write that is
-// repeated or arrives late does no harm while the incarnation has one write under way.
-func (c *Counter) Write(ctx context.Context, t Table, incarnation wire.IncarnationId) error {
+// Write puts one incarnation's counts of the windows that have risen into the store. Each write names the revision of the row
+// that it replaces, so that one whose answer was lost and that takes effect late cannot take counts back.
+func (c *Counter) Write(ctx context.Context, t Table, instance wire.InstanceName, incarnation wire.IncarnationId) error {
 	dirty := c.Dirty()
 	if len(dirty) == 0 {
 		return nil
 	}
+	for range writeTries {
+		r, err := c.transaction(dirty, instance, incarnation)
+		if err != nil {
+			return err
+		}
+		answer, err := t.Transact(ctx, r)
+		if err != nil {
+			return err
+		}
+		if answer.Committed {
+			c.Written(dirty, answer.Revision)
+			return nil
+		}
+		if err := c.adopt(answer.Conflicts); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("rows of usage counts keep changing")
+}
+
+// writeTries is how often a write is tried again with the rows' revisions after those known turned out to be old.
+const writeTries = 2
+
+func (c *Counter) transaction(dirty map[Window]Counts, instance wire.InstanceName, incarnation wire.IncarnationId) (wire.TransactRequest, error) {
 	var r wire.TransactRequest
 	for w, counts := range dirty {
 		value, err := json.Marshal(counts)
 		if err != nil {
-			return err
+			return r, err
 		}
-		r.Writes = append(r.Writes, wire.Write{Table: CountTable, Key: windowKey(w) + "/" + string(incarnation), Value: value})
+		key := countKey(w, instance, incarnation)
+		r.Checks = append(r.Checks, wire.Check{Table: CountTable, Key: key, Revision: c.revision(w)})
+		r.Writes = append(r.Writes, wire.Write{Table: CountTable, Key: key, Value: value})
 	}
-	answer, err := t.Transact(ctx, r)
-	if err != nil {
-		return err
-	}
-	if !answer.Committed {
-		return fmt.Errorf("the store refused usage counts")
+	return r, nil
+}
+
+// adopt takes over the revisions of rows that an earlier write of this incarnation has changed, though its answer was lost.
+func (c *Counter) adopt(rows []wire.Row) error {
+	for _, row := range rows {
+		w, _, err := parseKey(row.Key)
+		if err != nil {
+			return fmt.Errorf("decode the key of counts %s: %w", row.Key, err)
+		}
+		c.setRevision(w, row.Revision)
 	}
-	c.Written(dirty)
 	return nil
 }
