--- a/router/duties.go
+++ b/router/duties.go
@@ -27,6 +27,8 @@
 	dutyEvery = 500 * time.Millisecond
 	// orderTimeout bounds an order or a call to the platform; the lease has to be held for at least as long.
 	orderTimeout = 700 * time.Millisecond
+	// holderSilence is how long after the holder's last report the others look at the lease in the store.
+	holderSilence = 1500 * time.Millisecond
 	// settleParts is how many tenths of the time until a report is due the counts of a window are waited for.
 	settleParts = 7
 	// scaleAgain is how often an order of endpoints is repeated while fewer are listed than wanted.
@@ -65,6 +67,7 @@
 	logger    *log.Logger
 	settings  *platform.Settings
 	peers     *peerload.Reporter
+	board     *peerload.Board
 
 	holds   bool
 	scaled  map[scaleKey]scaleOrder
@@ -73,7 +76,7 @@
 }
 
 func newDuties(s *platform.Settings, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, r *relay.Relay,
-	d *roster.Directory, peers *peerload.Reporter, self lease.Identity, logger *log.Logger) *duties {
+	d *roster.Directory, peers *peerload.Reporter, board *peerload.Board, self lease.Identity, logger *log.Logger) *duties {
 	keeper := lease.NewKeeper(dutyLease, self, store, bootClock{}, lease.WithTerm(s.Bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
 	x := &duties{
 		instance:  s.Instance,
@@ -87,6 +90,7 @@
 		logger:    logger,
 		settings:  s,
 		peers:     peers,
+		board:     board,
 		scaled:    map[scaleKey]scaleOrder{},
 		scalers:   map[wire.ServiceName]*fleet.Scaler{},
 		staged:    map[roster.Key]time.Time{},
@@ -115,10 +119,13 @@
 }
 
 func (x *duties) step(ctx context.Context) {
-	if err := x.keeper.Step(ctx); err != nil {
-		x.logger.Warn().Str("Lease", string(dutyLease)).Err(err).Msg("LeaseStepFailed")
+	if x.holds || !x.board.HolderHeard(time.Now(), holderSilence) {
+		if err := x.keeper.Step(ctx); err != nil {
+			x.logger.Warn().Str("Lease", string(dutyLease)).Err(err).Msg("LeaseStepFailed")
+		}
 	}
 	belief := x.keeper.Belief()
+	x.peers.SetHolds(belief.Holds)
 	if belief.Holds != x.holds {
 		x.holds = belief.Holds
 		x.logger.Info().Str("Lease", string(dutyLease)).Bool("Holds", belief.Holds).Int64("Epoch", int64(belief.Epoch)).
--- a/router/serve.go
+++ b/router/serve.go
@@ -49,12 +49,13 @@
 	directory := roster.NewDirectory()
 	agreed := truetime.New(bootClock{}.Monotonic, time.Now)
 	store := platform.NewStore(s.StoreAddress, agreed.Observe)
-	pool := link.NewPool[roster.Key](clock, link.Dial)
+	pool := link.NewPool[roster.Key](clock, link.DialQuick)
 	courier := platform.NewCourier(pool, clock)
 	counter := metering.NewCounter(s.Bounds.UsageWindow, agreed.Now)
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	self := lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())}
 	reporter := peerload.NewReporter(s.Instance, self.Incarnation, s.PeerAddress, directory)
+	board := peerload.NewBoard(s.Instance, directory)
 	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(reporter.Used))
 
 	work, stopWork := context.WithCancel(process.Hard(ctx))
@@ -63,15 +64,16 @@
 	var last sync.WaitGroup
 	defer last.Wait()
 	defer stopWork()
-	last.Go(func() { writeUsage(work, store, agreed, counter, self, logger) })
-	x := newDuties(s, store, agreed, counter, r, directory, reporter, self, logger)
+	x := newDuties(s, store, agreed, counter, r, directory, reporter, board, self, logger)
 	last.Go(func() { x.run(work) })
-	peers, err := newPeers(work, s.PeerAddress, reporter, peerload.NewBoard(s.Instance, directory), logger)
+	peers, err := newPeers(work, s.PeerAddress, reporter, board, logger)
 	if err != nil {
 		return err
 	}
 	register := membership.NewRegister(store, s.Instance, s.Domain, s.PeerAddress, agreed.Now)
 	last.Go(func() { keepMembers(work, register, peers, logger) })
+	instances := func() int { return len(peers.addresses()) + 1 }
+	last.Go(func() { writeUsage(work, store, agreed, counter, self, instances, logger) })
 	share := retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, time.Now())
 
 	f := &front{relay: r, logger: logger}
@@ -106,7 +108,7 @@
 			logger.Info().Msg("Reloaded")
 		case <-ticker.C:
 			tidy(directory, pool, f, idle, logger)
-			r.SetSlack(share.Slack(time.Now(), len(peers.addresses())+1))
+			r.SetSlack(share.Slack(time.Now(), instances()))
 		case <-ctx.Done():
 			f.leaving.Store(true)
 			logger.Info().Msg("Stopping")
--- a/serving/peerload/board.go
+++ b/serving/peerload/board.go
@@ -14,6 +14,9 @@
 // changeHeld is how long one report keeps work from an engine that changes. The sender repeats it while it waits.
 const changeHeld = 1500 * time.Millisecond
 
+// accusers is how many peers have to leave an endpoint alone before this instance does: one alone may be cut off from it.
+const accusers = 2
+
 // Board keeps the newest report of each peer and sums them up for the endpoints. It is safe for concurrent use.
 type Board struct {
 	self      wire.InstanceName
@@ -68,6 +71,18 @@
 	b.sum(b.directory.View().All(), now)
 }
 
+// HolderHeard tells whether a peer that believes to hold the lease of the duties reported within a time.
+func (b *Board) HolderHeard(now time.Time, within time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		if p.report.Holds && now.Sub(p.at) < within {
+			return true
+		}
+	}
+	return false
+}
+
 // Addresses returns where the peers that report take reports.
 func (b *Board) Addresses() []string {
 	b.mu.Lock()
@@ -82,11 +97,15 @@
 // sum tells each endpoint what the peers have under way there.
 func (b *Board) sum(all map[wire.EndpointId]*roster.Endpoint, now time.Time) {
 	sums := map[wire.EndpointId]Load{}
+	paused := map[wire.EndpointId]int{}
 	for name, p := range b.peers {
 		if now.Sub(p.at) > silence {
 			delete(b.peers, name)
 			continue
 		}
+		for _, id := range p.report.Paused {
+			paused[id]++
+		}
 		for _, l := range p.report.Loads {
 			s := sums[l.Endpoint]
 			s.Prefill += max(l.Prefill, 0)
@@ -95,6 +114,7 @@
 		}
 	}
 	for id, e := range all {
+		e.SetSuspected(paused[id] >= accusers)
 		e.SetPeers(sums[id].Prefill, sums[id].InFlight)
 	}
 }
--- a/serving/peerload/peerload_test.go
+++ b/serving/peerload/peerload_test.go
@@ -114,3 +114,39 @@
 		t.Error("an instance counts its load twice")
 	}
 }
+
+// TestEndpointThatTwoPeersLeaveAloneIsLeftAlone holds that one peer, which may be cut off by itself, is not enough.
+func TestEndpointThatTwoPeersLeaveAloneIsLeftAlone(t *testing.T) {
+	c := newInstance("c")
+	for _, name := range []wire.InstanceName{"a", "b"} {
+		x := newInstance(name)
+		x.endpoint().Failed(now)
+		r, changed := x.reporter.Next(now)
+		if !changed {
+			t.Error("a failed endpoint is no change")
+		}
+		c.board.Take(r, now)
+		if open := c.endpoint().Open(now); open != (name == "a") {
+			t.Errorf("after the report of %s: open %v", name, open)
+		}
+	}
+	c.board.Expire(now.Add(3 * time.Second))
+	if !c.endpoint().Open(now) {
+		t.Error("the endpoint is left alone after its accusers fell silent")
+	}
+}
+
+func TestHolderIsHeardWhileItReports(t *testing.T) {
+	a, b := newInstance("a"), newInstance("b")
+	r, _ := a.reporter.Next(now)
+	b.board.Take(r, now)
+	if b.board.HolderHeard(now, time.Second) {
+		t.Error("a peer that does not hold the lease was taken for the holder")
+	}
+	a.reporter.SetHolds(true)
+	r, _ = a.reporter.Next(now)
+	b.board.Take(r, now)
+	if !b.board.HolderHeard(now, time.Second) || b.board.HolderHeard(now.Add(time.Second), time.Second) {
+		t.Error("the holder was not heard for just the time since its report")
+	}
+}
--- a/serving/peerload/report.go
+++ b/serving/peerload/report.go
@@ -35,7 +35,11 @@
 	Sequence    uint64
 	// Address is where the sender takes reports.
 	Address string
+	// Holds tells that the sender believes to hold the lease of the duties.
+	Holds   bool
 	Loads   []Load
 	Uses    []Use
 	Changes []Change
+	// Paused are the endpoints that the sender leaves alone as they failed.
+	Paused []wire.EndpointId
 }
--- a/serving/peerload/reporter.go
+++ b/serving/peerload/reporter.go
@@ -24,9 +24,11 @@
 	mu       sync.Mutex
 	sequence uint64
 	last     []Load
-	fresh    []Use
-	repeated []Use
-	ordered  map[wire.EndpointId]ordered
+	// lastPaused is what the last report said of paused endpoints.
+	lastPaused []wire.EndpointId
+	fresh      []Use
+	repeated   []Use
+	ordered    map[wire.EndpointId]ordered
 }
 
 // ordered is an order of this instance.
@@ -50,20 +52,29 @@
 	}
 }
 
+// SetHolds notes whether this instance believes to hold the lease of the duties.
+func (r *Reporter) SetHolds(holds bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.template.Holds = holds
+}
+
 // Next returns the next report, and whether it says anything that the last one did not.
 func (r *Reporter) Next(now time.Time) (Report, bool) {
 	loads := r.loads()
 	changes := r.changes(now)
+	paused := r.paused(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := len(changes) > 0 || len(r.fresh) > 0 || len(r.repeated) > 0 || !slices.Equal(loads, r.last)
+	changed := len(changes) > 0 || len(r.fresh) > 0 || len(r.repeated) > 0 || !slices.Equal(loads, r.last) || !slices.Equal(paused, r.lastPaused)
 	report := r.template
 	r.sequence++
 	report.Sequence = r.sequence
 	report.Loads = loads
 	report.Changes = changes
+	report.Paused = paused
 	report.Uses = append(slices.Clone(r.fresh), r.repeated...)
-	r.last = loads
+	r.last, r.lastPaused = loads, paused
 	r.repeated, r.fresh = r.fresh, nil
 	return report, changed
 }
@@ -90,6 +101,17 @@
 	r.ordered[id] = ordered{to: to, until: until}
 }
 
+func (r *Reporter) paused(now time.Time) []wire.EndpointId {
+	var list []wire.EndpointId
+	for id, e := range r.directory.View().All() {
+		if e.Paused(now) {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 func (r *Reporter) loads() []Load {
 	var loads []Load
 	for id, e := range r.directory.View().All() {
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -6,10 +6,13 @@
 	"time"
 )
 
-// buckets is how finely the window slides. The sends of all buckets count, and the requests of all but the oldest: the
-// buckets together are one longer than the window.
+// buckets is how finely the window slides. The sends of all buckets count, as they are together one longer than the window.
 const buckets = 21
 
+// recent is how many buckets' requests count: half a window. The bound on all instances counts the requests of a window, the
+// one before or the one half a window before. While a send counts, one of these holds the half before the send.
+const recent = (buckets - 1) / 2
+
 // Budget bounds the sends beyond the first of each request to one service within a sliding window: a ratio of the
 // requests and a share of the slack that all instances have together. It is safe for concurrent use.
 type Budget struct {
@@ -77,10 +80,12 @@
 
 // left tells whether one more send is within the bound. The caller holds the lock.
 func (b *Budget) left() bool {
-	requests, extra := -b.requests[(b.at+1)%buckets], 0
-	for i := range buckets {
-		requests += b.requests[i]
-		extra += b.extra[i]
+	requests, extra := 0, 0
+	for i := range recent {
+		requests += b.requests[(b.at+buckets-int64(i))%buckets]
+	}
+	for _, n := range b.extra {
+		extra += n
 	}
 	return float64(extra+1) <= b.ratio*float64(requests)+b.slack
 }
--- a/serving/roster/replica.go
+++ b/serving/roster/replica.go
@@ -57,7 +57,9 @@
 	// peersInFlight and peersPrefill are the same of the other instances.
 	peersInFlight, peersPrefill atomic.Int64
 	failure                     failure
-	cache                       cache
+	// suspected is set while several other instances leave the endpoint alone.
+	suspected atomic.Bool
+	cache     cache
 }
 
 // away is an order to another stage that may be under way until a time.
@@ -73,7 +75,7 @@
 
 // Open tells whether new work may go to the endpoint at now.
 func (e *Endpoint) Open(now time.Time) bool {
-	return !e.removed.Load() && !e.Entry().Leaving && !e.failure.paused(now) && !e.isAway(now)
+	return !e.removed.Load() && !e.Entry().Leaving && !e.failure.paused(now) && !e.suspected.Load() && !e.isAway(now)
 }
 
 // Listed tells whether the endpoint is in the newest view.
@@ -146,6 +148,16 @@
 	e.cache.forget()
 }
 
+// Paused tells whether this instance leaves the endpoint alone as it failed.
+func (e *Endpoint) Paused(now time.Time) bool {
+	return e.failure.paused(now)
+}
+
+// SetSuspected notes whether several other instances leave the endpoint alone.
+func (e *Endpoint) SetSuspected(suspected bool) {
+	e.suspected.Store(suspected)
+}
+
 // Rejected notes that the endpoint did not run a request, for it is full or away. It is paused like one that failed, as it
 // would otherwise look idle, but it keeps what it holds.
 func (e *Endpoint) Rejected(now time.Time) {
--- a/shared/link/dial.go
+++ b/shared/link/dial.go
@@ -9,8 +9,11 @@
 
 // Bounds of a connection whose peer has fallen silent. They stay under the time in which an instance has to notice.
 const (
-	// DialTimeout bounds the opening of a connection. A lost opening packet is sent again after a second.
+	// DialTimeout bounds the opening of a connection where there is no other to turn to. A lost opening packet is sent again
+	// after a second.
 	DialTimeout = 1200 * time.Millisecond
+	// QuickTimeout is the same where there is: a hundred times the way there and back.
+	QuickTimeout = 300 * time.Millisecond
 	// userTimeout bounds how long written bytes may stay unacknowledged.
 	userTimeout = 2 * time.Second
 	// probeEvery is how often an idle peer is probed, and probes how often without an answer.
@@ -23,8 +26,17 @@
 
 // Dial opens a TCP connection that fails soon when its peer falls silent.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return dial(ctx, network, address, DialTimeout)
+}
+
+// DialQuick is Dial with QuickTimeout.
+func DialQuick(ctx context.Context, network, address string) (net.Conn, error) {
+	return dial(ctx, network, address, QuickTimeout)
+}
+
+func dial(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout:         DialTimeout,
+		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
