Leave silent replicas, and give silent connections to the store up sooner

The feed can go over a connection that the cut had silenced: one of several idle ones, found out only after TCP's user timeout of 2 s. Lookups and resumable streams waited for silent replicas until their deadline.

Ruled out: the feed's longer wait (the connection was silent, not the store).

--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -33,12 +33,22 @@
 	return quickest(suited, p, need.Near, decodeRate, now)
 }
 
-func quickest(suited []*roster.Endpoint, p *Prompt, near wire.DomainName, rate float64, now time.Time) (*roster.Endpoint, time.Duration) {
-	spent := func(e *roster.Endpoint) float64 {
-		return float64(e.PrefillLoad()+p.Unread(e.Kept(p.IDs, now)))/rate + stepTime*float64(e.InFlight())
+// ReadTime is the time until an engine has read a prompt after all that waits there.
+func ReadTime(e *roster.Endpoint, p *Prompt, now time.Time) time.Duration {
+	rate := prefillRate
+	if e.Entry().Stage == roster.Decode {
+		rate = decodeRate
 	}
+	return time.Duration(readMillis(e, p, rate, now) * float64(time.Millisecond))
+}
+
+func readMillis(e *roster.Endpoint, p *Prompt, rate float64, now time.Time) float64 {
+	return float64(e.PrefillLoad()+p.Unread(e.Kept(p.IDs, now)))/rate + stepTime*float64(e.InFlight())
+}
+
+func quickest(suited []*roster.Endpoint, p *Prompt, near wire.DomainName, rate float64, now time.Time) (*roster.Endpoint, time.Duration) {
 	best := least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, place int) float64 {
-		cost := spent(e)
+		cost := readMillis(e, p, rate, now)
 		if place > 0 {
 			cost += affinity
 		}
@@ -50,7 +60,7 @@
 	if best == nil {
 		return nil, 0
 	}
-	return best, time.Duration(spent(best) * float64(time.Millisecond))
+	return best, time.Duration(readMillis(best, p, rate, now) * float64(time.Millisecond))
 }
 
 // Taker returns the engine that generates from a KV cache which a prefill engine of a failure domain holds: the least busy one
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -66,7 +66,9 @@
 	defer release()
 	a := j.attempt()
 	a.PrefillOnly = true
-	answer, err := j.relay.sender.Send(ctx, e, a)
+	w := newWatch(ctx, j.relay.clock, max(leastSilence, estimatesOfSilence*j.estimate(e)))
+	defer w.end()
+	answer, err := j.relay.sender.Send(w.ctx, e, a)
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
 		j.failed(ctx, e, err)
@@ -96,6 +98,11 @@
 	return true
 }
 
+// estimate is the time until an engine has read the prompt.
+func (j *job) estimate(e *roster.Endpoint) time.Duration {
+	return placement.ReadTime(e, &j.request.Prompt, j.relay.clock.Now())
+}
+
 // unread is the tokens of the prompt that an endpoint is thought to have to prefill.
 func (j *job) unread(e *roster.Endpoint) int {
 	return j.request.Prompt.Unread(e.Kept(j.request.Prompt.IDs, j.relay.clock.Now()))
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -36,6 +36,8 @@
 	breaks
 	// errs runs the request and answers with a failure.
 	errs
+	// hangs runs the request and is silent until the sender gives up.
+	hangs
 	// busy answers 503 without saying that the request did not run.
 	busy
 	deeds
@@ -53,7 +55,7 @@
 	attempts                             []relay.Attempt
 }
 
-func (f *fleet) Send(_ context.Context, e *roster.Endpoint, a *relay.Attempt) (*relay.Answer, error) {
+func (f *fleet) Send(ctx context.Context, e *roster.Endpoint, a *relay.Attempt) (*relay.Answer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := f.next(a)
@@ -80,6 +82,9 @@
 		f.taken++
 	}
 	switch d {
+	case hangs:
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
 	case silent:
 		return nil, errors.New("reset")
 	case errs:
@@ -196,7 +201,7 @@
 }
 
 func table(v route.Version) *route.Table {
-	base := route.Route{Host: "h", Timeout: 2 * time.Second, MaxAttempts: 2, Public: true}
+	base := route.Route{Host: "h", Timeout: 300 * time.Millisecond, Goal: 10 * time.Millisecond, MaxAttempts: 2, Public: true}
 	add := func(prefix string, kind route.Kind, resumable bool, service wire.ServiceName) *route.Route {
 		r := base
 		r.Name, r.Prefix, r.Kind, r.Resumable = prefix, prefix, kind, resumable
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -69,6 +69,9 @@
 		{"a lookup that failed is repeated", "/again/", []deed{errs, answers}, 200, 0, 2},
 		{"a lookup is repeated as often as its route says", "/again/", []deed{silent, silent, answers}, 0, relay.Unknown, 2},
 		{"a failure is passed on if no attempt is left", "/again/", []deed{errs, errs}, 500, 0, 2},
+		{"a lookup at a silent endpoint goes elsewhere", "/again/", []deed{hangs, answers}, 200, 0, 2},
+		{"a lookup waits for its last endpoint", "/again/", []deed{errs, hangs}, 0, relay.Expired, 2},
+		{"a booking at a silent endpoint waits", "/once/", []deed{hangs, answers}, 0, relay.Expired, 1},
 		{"nobody is reached", "/once/", []deed{unreachable, unreachable, unreachable, unreachable}, 0, relay.NotRun, 0},
 	}
 	for _, test := range tests {
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -57,7 +57,9 @@
 	}
 	release := e.Begin(unread)
 	defer release()
-	a, err := j.relay.sender.Send(ctx, e, j.attempt())
+	w := newWatch(ctx, j.relay.clock, j.silenceLimit(e))
+	defer w.end()
+	a, err := j.relay.sender.Send(w.ctx, e, j.attempt())
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
 		j.failed(ctx, e, err)
@@ -80,8 +82,9 @@
 	j.source = nil
 	j.learn(e)
 	if j.route.Kind == route.Stream && a.Success() {
-		return j.stream(ctx, e, a)
+		return j.stream(ctx, w, e, a)
 	}
+	w.heard()
 	return j.whole(ctx, e, a)
 }
 
@@ -140,9 +143,10 @@
 }
 
 // stream passes events on as they come.
-func (j *job) stream(ctx context.Context, e *roster.Endpoint, a *Answer) bool {
+func (j *job) stream(ctx context.Context, w *watch, e *roster.Endpoint, a *Answer) bool {
 	for {
 		event, id, err := a.Body.Next()
+		w.heard()
 		if errors.Is(err, io.EOF) {
 			return j.streamEnded(e, a)
 		}
--- a/shared/link/dial.go
+++ b/shared/link/dial.go
@@ -14,8 +14,8 @@
 	DialTimeout = 1200 * time.Millisecond
 	// QuickTimeout is the same where there is: a hundred times the way there and back.
 	QuickTimeout = 300 * time.Millisecond
-	// userTimeout bounds how long written bytes may stay unacknowledged.
-	userTimeout = 2 * time.Second
+	// userTimeout bounds how long written bytes may stay unacknowledged: long enough for two retransmissions of a lost packet.
+	userTimeout = 800 * time.Millisecond
 	// probeEvery is how often an idle peer is probed, and probes how often without an answer.
 	probeEvery = time.Second
 	probes     = 2
