Say in the log what a choice went by, and how many lines were dropped

Cause: a line for a sent request named the endpoint and not what decided it; dropped lines were only counted; the time left of a request that was refused before its route was known was a nonsense number.

Ruled out: a line of its own for each choice (twice the log).

--- a/router/logger.go
+++ b/router/logger.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"sync/atomic"
+	"time"
 
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/shared/process"
@@ -13,10 +15,13 @@
 // logQueue is how many lines wait for the output; what comes beyond is dropped and counted.
 const logQueue = 4096
 
+// droppedEvery is how often the log says how many lines were dropped, while some are.
+const droppedEvery = time.Second
+
 // lines writes log lines in the background, so that a slow reader of the output never holds a request up.
 type lines struct {
 	queue   chan []byte
-	dropped *metrics.Counter
+	dropped atomic.Int64
 }
 
 // Write queues one line.
@@ -24,20 +29,34 @@
 	select {
 	case l.queue <- append([]byte(nil), line...):
 	default:
-		l.dropped.Inc()
+		l.dropped.Add(1)
+		metrics.GetOrCreateCounter("router_log_lines_dropped_total").Inc()
 	}
 	return len(line), nil
 }
 
-func newLogger(w io.Writer, level string, instance wire.InstanceName) *log.Logger {
-	l := &lines{queue: make(chan []byte, logQueue), dropped: metrics.GetOrCreateCounter("router_log_lines_dropped_total")}
-	go func() {
-		for line := range l.queue {
-			// There is nowhere left to report an error of the log's own output.
-			_, _ = w.Write(line)
+// write writes what is queued to w. There is nowhere left to report an error of the log's own output.
+func (l *lines) write(w io.Writer) {
+	for line := range l.queue {
+		_, _ = w.Write(line)
+	}
+}
+
+// tell logs how many lines were dropped.
+func (l *lines) tell(logger *log.Logger) {
+	for range time.Tick(droppedEvery) {
+		if n := l.dropped.Swap(0); n > 0 {
+			logger.Warn().Int64("Lines", n).Msg("LogLinesDropped")
 		}
-	}()
-	return process.NewLogger(l, level, programName, string(instance))
+	}
+}
+
+func newLogger(w io.Writer, level string, instance wire.InstanceName) *log.Logger {
+	l := &lines{queue: make(chan []byte, logQueue)}
+	logger := process.NewLogger(l, level, programName, string(instance))
+	go l.write(w)
+	go l.tell(logger)
+	return logger
 }
 
 // decisions logs and counts the decisions on requests.
@@ -57,6 +76,9 @@
 		Int("Attempt", x.Attempt).
 		Int64("AgeMillis", x.Age.Milliseconds()).
 		Int64("LeftMillis", x.Left.Milliseconds())
+	if x.Endpoint != "" {
+		entry = entry.Int("Waiting", x.Waiting).Int("Unread", x.Unread)
+	}
 	if x.Status != 0 {
 		entry = entry.Int("Status", x.Status)
 	}
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -62,7 +62,7 @@
 
 // prefill has the prompt read and tells whether its KV cache is there.
 func (j *job) prefill(ctx context.Context, e *roster.Endpoint) bool {
-	release := e.Begin(j.unread(e))
+	release := j.begin(e, j.unread(e))
 	defer release()
 	a := j.attempt()
 	a.PrefillOnly = true
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -35,6 +35,8 @@
 	began  bool
 	not    []wire.EndpointId
 	source *Source
+	// waiting and unread are what the last choice of an engine went by.
+	waiting, unreadThere int
 	// begun tells that the caller has the head of a stream, lastEvent the last event's id.
 	begun     bool
 	lastEvent string
@@ -165,6 +167,12 @@
 	}
 }
 
+// begin counts the request at an endpoint until the function that it returns is called, and notes what the choice went by.
+func (j *job) begin(e *roster.Endpoint, unread int) func() {
+	j.waiting, j.unreadThere = e.PrefillLoad(), unread
+	return e.Begin(unread)
+}
+
 func (j *job) decided(step string, e *roster.Endpoint, status int, reason string, err error) {
 	now := j.relay.clock.Now()
 	d := Decision{
@@ -180,10 +188,13 @@
 	}
 	if j.route != nil {
 		d.Route = j.route.Name
+	}
+	if !j.deadline.IsZero() {
 		d.Left = j.deadline.Sub(now)
 	}
 	if e != nil {
 		d.Endpoint = e.Entry().ID
+		d.Waiting, d.Unread = j.waiting, j.unreadThere
 	}
 	j.relay.observer.Decided(d)
 }
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -37,9 +37,12 @@
 	Attempt int
 	// Age is the time since the request arrived, Left what is left until its deadline.
 	Age, Left time.Duration
-	Status    int
-	Reason    string
-	Err       error
+	// Waiting and Unread are the tokens that waited at the endpoint when it was chosen, and those of this prompt that it was
+	// thought to have to read.
+	Waiting, Unread int
+	Status          int
+	Reason          string
+	Err             error
 }
 
 // BudgetBounds bound the sends beyond the first over all instances.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -55,7 +55,7 @@
 	if j.source != nil {
 		unread = 0
 	}
-	release := e.Begin(unread)
+	release := j.begin(e, unread)
 	defer release()
 	w := newWatch(ctx, j.relay.clock, j.silenceLimit(e))
 	defer w.end()
@@ -156,7 +156,7 @@
 			return false
 		}
 		j.meter()
-		j.begin(e, a)
+		j.pass(e, a)
 		if err := j.caller.Event(event); err != nil {
 			j.decided("Aborted", e, a.Status, "the client is gone", err)
 			j.caller.Abort()
@@ -168,8 +168,8 @@
 	}
 }
 
-// begin passes the head of the first answer on; a stream that is resumed keeps it.
-func (j *job) begin(e *roster.Endpoint, a *Answer) {
+// pass passes the head of the first answer on; a stream that is resumed keeps it.
+func (j *job) pass(e *roster.Endpoint, a *Answer) {
 	if j.begun {
 		return
 	}
@@ -180,7 +180,7 @@
 }
 
 func (j *job) streamEnded(e *roster.Endpoint, a *Answer) bool {
-	j.begin(e, a)
+	j.pass(e, a)
 	j.decided("Answered", e, a.Status, "", nil)
 	j.caller.End()
 	return true
