Leave the endpoints of a failure domain alone that is cut off

A stopping instance logged its own followers' end as a lost store.

Now: two endpoints of another failure domain out of reach within a second close the domain for a pause that doubles; one that answers opens it.

Ruled out: a shorter time for connections (lossy links need one retransmission).

--- a/router/follower.go
+++ b/router/follower.go
@@ -50,6 +50,9 @@
 			f.read = false
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		f.missed(err)
 		select {
 		case <-ctx.Done():
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -91,7 +91,7 @@
 		j.failed(ctx, e, err)
 		return false
 	}
-	e.Worked()
+	j.worked(e)
 	j.learn(e)
 	j.source = &Source{Endpoint: e, Handle: handle}
 	j.decided("Prefilled", e, answer.Status, "", nil)
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -87,9 +87,26 @@
 	return placement.Need{Stage: stage, Near: j.relay.domain, Not: j.not, Steady: j.route.Kind == route.Once}
 }
 
-// endpoints returns those of the service that suit.
+// endpoints returns those of the service that suit, without those of other failure domains that are cut off, if any is left.
 func (j *job) endpoints(need placement.Need) []*roster.Endpoint {
-	return placement.Suited(j.relay.directory.View().Service(j.service.Name), need, j.relay.clock.Now())
+	now := j.relay.clock.Now()
+	suited := placement.Suited(j.relay.directory.View().Service(j.service.Name), need, now)
+	reached := make([]*roster.Endpoint, 0, len(suited))
+	for _, e := range suited {
+		if d := e.Entry().Domain; d == j.relay.domain || !j.relay.reach.Cut(d, now) {
+			reached = append(reached, e)
+		}
+	}
+	if len(reached) == 0 {
+		return suited
+	}
+	return reached
+}
+
+// worked notes that an endpoint has answered.
+func (j *job) worked(e *roster.Endpoint) {
+	e.Worked()
+	j.relay.reach.Reached(e.Entry())
 }
 
 // attempt returns the next send.
@@ -124,6 +141,10 @@
 	}
 	j.not = append(j.not, e.Entry().ID)
 	e.Failed(j.relay.clock.Now())
+	var neverSent *NeverSentError
+	if errors.As(err, &neverSent) {
+		j.relay.reach.Unreached(e.Entry(), j.relay.clock.Now())
+	}
 	j.decided("Failed", e, 0, "the endpoint failed", err)
 }
 
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -62,6 +62,7 @@
 	clock     clockwork.Clock
 	domain    wire.DomainName
 	bounds    BudgetBounds
+	reach     *roster.Reach
 
 	// learned is told which parts of prompts an endpoint newly keeps.
 	learned func(id wire.EndpointId, parts []roster.PartID)
@@ -91,6 +92,7 @@
 		clock:     clock,
 		domain:    domain,
 		bounds:    bounds,
+		reach:     roster.NewReach(),
 		budgets:   map[wire.ServiceName]*retry.Budget{},
 		learned:   func(wire.EndpointId, []roster.PartID) {},
 	}
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -118,7 +118,7 @@
 		}
 	}
 	if a.Status < 500 {
-		e.Worked()
+		j.worked(e)
 	}
 	if j.begun {
 		j.caller.Abort()
@@ -174,7 +174,7 @@
 		return
 	}
 	j.begun = true
-	e.Worked()
+	j.worked(e)
 	j.decided("Began", e, a.Status, "", nil)
 	j.caller.Begin(a.Status, a.Header)
 }
--- /dev/null
+++ b/serving/roster/reach.go
@@ -0,0 +1,73 @@
+package roster
+
+import (
+	"sync"
+	"time"
+
+	"cowslipshunt.example/wire"
+)
+
+// Bounds of the pause of a failure domain that is not reached.
+const (
+	// cutEndpoints is how many endpoints have to be out of reach for their failure domain to count as cut off, and cutWithin in
+	// what time: one may have crashed.
+	cutEndpoints = 2
+	cutWithin    = time.Second
+	// cutPause is for how long the domain's endpoints are left alone before one is tried again; it doubles up to cutPauseAtMost.
+	cutPause       = 250 * time.Millisecond
+	cutPauseAtMost = 2 * time.Second
+)
+
+// Reach keeps which failure domains this instance reaches. Without it, each of a domain's endpoints would cost a request the
+// time to open a connection in vain. It is safe for concurrent use.
+type Reach struct {
+	mu      sync.Mutex
+	domains map[wire.DomainName]*domainReach
+}
+
+type domainReach struct {
+	failed map[wire.EndpointId]time.Time
+	pause  time.Duration
+	until  time.Time
+}
+
+// NewReach returns a reach that knows of no failure.
+func NewReach() *Reach {
+	return &Reach{domains: map[wire.DomainName]*domainReach{}}
+}
+
+// Unreached notes that no connection to an endpoint was had.
+func (r *Reach) Unreached(entry *Entry, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, known := r.domains[entry.Domain]
+	if !known {
+		d = &domainReach{failed: map[wire.EndpointId]time.Time{}}
+		r.domains[entry.Domain] = d
+	}
+	d.failed[entry.ID] = now
+	for id, at := range d.failed {
+		if now.Sub(at) > cutWithin && d.pause == 0 {
+			delete(d.failed, id)
+		}
+	}
+	if len(d.failed) >= cutEndpoints && !now.Before(d.until) {
+		d.pause = min(max(2*d.pause, cutPause), cutPauseAtMost)
+		d.until = now.Add(d.pause)
+	}
+}
+
+// Reached notes that an endpoint has answered.
+func (r *Reach) Reached(entry *Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.domains, entry.Domain)
+}
+
+// Cut tells whether a failure domain counts as cut off.
+func (r *Reach) Cut(d wire.DomainName, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.domains[d]
+	return ok && now.Before(known.until)
+}
