Reset connections of exchanges that are given up

The same holds for orders and calls of duties that were given up.

Now: connections to replicas, the store and the interface of duties are reset when they are closed.

Ruled out: a late feed (the instance had asked the replica 4 s before it said that it leaves).

TestEndedExchangeResetsItsConnection was red before.

--- a/shared/link/dial.go
+++ b/shared/link/dial.go
@@ -24,7 +24,8 @@
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall does not name.
 const tcpUserTimeout = 18
 
-// Dial opens a TCP connection that fails soon when its peer falls silent.
+// Dial opens a TCP connection that fails soon when its peer falls silent, and that is reset when it is closed: what a cut holds
+// up of a request that was given up must not arrive once it has healed.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	return dial(ctx, network, address, DialTimeout)
 }
@@ -49,5 +50,13 @@
 			return failed
 		},
 	}
-	return d.DialContext(ctx, network, address)
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
 }
--- a/shared/link/pool_test.go
+++ b/shared/link/pool_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,3 +154,22 @@
 		t.Error("a closed connection was kept")
 	}
 }
+
+// TestEndedExchangeResetsItsConnection holds that what was not delivered of a request is not delivered later: an orderly end
+// would have the kernel go on sending, until a cut has healed.
+func TestEndedExchangeResetsItsConnection(t *testing.T) {
+	p := newPair(t)
+	c, err := p.pool.Get(t.Context(), "a", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Send(t.Context(), net.Buffers{[]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")})
+	peer := <-p.peers
+	if _, err := peer.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	if _, err := io.Copy(io.Discard, peer); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the peer saw %v, want a reset", err)
+	}
+}
