--- a/router/follower.go
+++ b/router/follower.go
@@ -16,7 +16,7 @@
 // Pauses between calls to the store after a failure.
 const (
 	retryAtFirst = 50 * time.Millisecond
-	retryAtMost  = 500 * time.Millisecond
+	retryAtMost  = 250 * time.Millisecond
 )
 
 // follower keeps what one table of the store holds. It reads the table whole and then follows its changes.
@@ -54,6 +54,8 @@
 			return
 		}
 		f.missed(err)
+		// A read fails sooner than a feed, which the store may hold for long.
+		f.read = false
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -145,10 +147,20 @@
 			logger.Info().Str("Endpoint", string(id)).Str("Reason", "not listed").Msg("EndpointGone")
 		}
 	}
-	back := func() { d.StoreBack(time.Now()) }
+	back := func() {
+		d.StoreBack(time.Now())
+		time.AfterFunc(roster.LapseGrace, func() { settle(d, logger) })
+	}
 	return &follower{store: store, table: platform.ReplicaTable, logger: logger, take: take, lost: d.StoreLost, back: back}
 }
 
+// settle drops the endpoints whose entries lapsed with the store and did not come back.
+func settle(d *roster.Directory, logger *log.Logger) {
+	for _, id := range d.Settle(time.Now()) {
+		logger.Info().Str("Endpoint", string(id)).Str("Reason", "lapsed and not listed again").Msg("EndpointGone")
+	}
+}
+
 // takeReplica takes one row in and tells whether it names a replica to use.
 func takeReplica(row platform.Row, d *roster.Directory, logger *log.Logger) bool {
 	id := wire.EndpointId(row.Key)
--- a/router/serve.go
+++ b/router/serve.go
@@ -132,9 +132,7 @@
 
 // tidy closes what is idle for too long and drops endpoints whose entries lapsed.
 func tidy(d *roster.Directory, pool *link.Pool[roster.Key], f *front, idle *idleConns, logger *log.Logger) {
-	for _, id := range d.Settle(time.Now()) {
-		logger.Info().Str("Endpoint", string(id)).Str("Reason", "lapsed and not listed again").Msg("EndpointGone")
-	}
+	settle(d, logger)
 	all := d.View().All()
 	pool.Retain(func(k roster.Key) bool {
 		e, known := all[k.ID]
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -12,6 +12,7 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/roster"
 )
 
 // Times of these tests. Within waits for what takes at most a few seconds.
@@ -244,3 +245,32 @@
 		return status == http.StatusUnauthorized
 	})
 }
+
+// contact is how long after an outage an instance counts as in touch again, by the platform's contract.
+const contact = 3 * time.Second
+
+// configApply is the platform's bound on the time until a configuration is in force.
+const configApply = 2 * time.Second
+
+// TestConfigurationAppliesInTimeAfterASilentOutage ends an outage in which the store took calls and did not answer, just after the
+// instance has begun another call.
+func TestConfigurationAppliesInTimeAfterASilentOutage(t *testing.T) {
+	x := start(t, whole)
+	x.configure(1, "k")
+	x.eventually("a ready instance", x.ready)
+	x.store.Silence(true)
+	x.eventually("a line about the lost store", func() bool { return strings.Contains(x.log.String(), "DependencyLost") })
+	calls := x.store.Calls()
+	x.eventually("another call", func() bool { return x.store.Calls() > calls })
+	x.store.Silence(false)
+	x.configure(2, "other")
+	changed := time.Now()
+	x.eventually("a line about the store's return", func() bool { return strings.Contains(x.log.String(), "DependencyRegained") })
+	if took := time.Since(changed); took+roster.LapseGrace > contact {
+		t.Errorf("the store's return was noticed after %v, and entries have %v more to come back", took, roster.LapseGrace)
+	}
+	x.eventually("the new configuration", func() bool { return strings.Contains(x.log.String(), `"Version":2`) })
+	if took := time.Since(changed); took > configApply {
+		t.Errorf("the configuration was in force after %v", took)
+	}
+}
