--- a/router/duties.go
+++ b/router/duties.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
-	"net/http"
 	"slices"
 	"time"
 
@@ -40,34 +38,27 @@
 // dutyLease names the lease for usage reports and orders.
 const dutyLease wire.LeaseName = "duties"
 
-// scaleKey names what one order of endpoints is about, scaleOrder is the last such order.
-type (
-	scaleKey struct {
-		service wire.ServiceName
-		domain  wire.DomainName
-		spot    bool
-	}
-	scaleOrder struct {
-		count int
-		at    time.Time
-	}
-)
-
-// duties are what one instance at a time does for all.
-type duties struct {
-	instance  wire.InstanceName
-	keeper    *lease.Keeper
-	client    *platform.Duties
-	reporter  *metering.Reporter
-	counter   *metering.Counter
+// dutyParts are what the duties work with.
+type dutyParts struct {
+	settings  *platform.Settings
+	self      lease.Identity
 	store     *platform.Store
 	clock     *truetime.Clock
+	counter   *metering.Counter
 	relay     *relay.Relay
 	directory *roster.Directory
-	logger    *log.Logger
-	settings  *platform.Settings
-	peers     *peerload.Reporter
-	board     *peerload.Board
+	// reports tell the peers what is ordered, board what the peers report.
+	reports *peerload.Reporter
+	board   *peerload.Board
+	logger  *log.Logger
+}
+
+// duties are what one instance at a time does for all.
+type duties struct {
+	dutyParts
+	keeper   *lease.Keeper
+	client   *platform.Duties
+	reporter *metering.Reporter
 
 	holds   bool
 	scaled  map[scaleKey]scaleOrder
@@ -75,27 +66,19 @@
 	staged  map[roster.Key]time.Time
 }
 
-func newDuties(s *platform.Settings, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, r *relay.Relay,
-	d *roster.Directory, peers *peerload.Reporter, board *peerload.Board, self lease.Identity, logger *log.Logger) *duties {
-	keeper := lease.NewKeeper(dutyLease, self, store, bootClock{}, lease.WithTerm(s.Bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
+func newDuties(p dutyParts) *duties {
+	bounds := p.settings.Bounds
+	keeper := lease.NewKeeper(dutyLease, p.self, p.store, bootClock{}, lease.WithTerm(bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
 	x := &duties{
-		instance:  s.Instance,
+		dutyParts: p,
 		keeper:    keeper,
-		client:    platform.NewDuties(s.DutyAddress, link.DialFunc(keeper.GuardedDial(link.Dial))),
-		counter:   counter,
-		store:     store,
-		clock:     clock,
-		relay:     r,
-		directory: d,
-		logger:    logger,
-		settings:  s,
-		peers:     peers,
-		board:     board,
+		client:    platform.NewDuties(p.settings.DutyAddress, link.DialFunc(keeper.GuardedDial(link.Dial))),
 		scaled:    map[scaleKey]scaleOrder{},
 		scalers:   map[wire.ServiceName]*fleet.Scaler{},
 		staged:    map[roster.Key]time.Time{},
 	}
-	x.reporter = metering.NewReporter(store, keeper, x, counter, s.Bounds.UsageDue*settleParts/10, metering.WithLate(x.usageLate))
+	settle := bounds.UsageDue * settleParts / 10
+	x.reporter = metering.NewReporter(p.store, keeper, x, p.counter, settle, metering.WithLate(x.usageLate))
 	return x
 }
 
@@ -125,7 +108,7 @@
 		}
 	}
 	belief := x.keeper.Belief()
-	x.peers.SetHolds(belief.Holds)
+	x.reports.SetHolds(belief.Holds)
 	if belief.Holds != x.holds {
 		x.holds = belief.Holds
 		x.logger.Info().Str("Lease", string(dutyLease)).Bool("Holds", belief.Holds).Int64("Epoch", int64(belief.Epoch)).
@@ -153,12 +136,12 @@
 // authority returns what orders carry, if the lease is held for long enough.
 func (x *duties) authority() (platform.Authority, bool) {
 	epoch, held := x.keeper.Guard(orderTimeout)
-	return platform.Authority{Holder: x.instance, Epoch: epoch}, held
+	return platform.Authority{Holder: x.self.Instance, Epoch: epoch}, held
 }
 
 // ReportUsage sends one window's counts.
 func (x *duties) ReportUsage(ctx context.Context, epoch wire.Epoch, w metering.Window, counts metering.Counts) error {
-	err := x.client.ReportUsage(ctx, platform.Authority{Holder: x.instance, Epoch: epoch}, int64(w), counts)
+	err := x.client.ReportUsage(ctx, platform.Authority{Holder: x.self.Instance, Epoch: epoch}, int64(w), counts)
 	x.logger.Info().Int64("Window", int64(w)).Int("Workspaces", len(counts)).Int64("Epoch", int64(epoch)).Err(err).Msg("UsageReported")
 	return err
 }
@@ -170,62 +153,3 @@
 			Str("Reason", "written after the window was frozen").Msg("UsageNotReported")
 	}
 }
-
-// scaler returns the scaler of a service.
-func (x *duties) scaler(name wire.ServiceName) *fleet.Scaler {
-	s, known := x.scalers[name]
-	if !known {
-		s = fleet.NewScaler(fleet.DefaultPolicy)
-		x.scalers[name] = s
-	}
-	return s
-}
-
-// scale orders endpoints where fewer or more are listed than wanted.
-func (x *duties) scale(ctx context.Context, list []*roster.Endpoint, wanted []fleet.Wanted) {
-	now := time.Now()
-	for _, w := range wanted {
-		key := scaleKey{service: w.Service, domain: w.Domain, spot: w.Spot}
-		if last := x.scaled[key]; fleet.Listed(list, w.Domain, w.Spot) == w.Count || last.count == w.Count && now.Sub(last.at) < scaleAgain {
-			continue
-		}
-		a, held := x.authority()
-		if !held {
-			return
-		}
-		x.scaled[key] = scaleOrder{count: w.Count, at: now}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := x.client.Scale(callCtx, a, platform.ScaleOrder{Service: w.Service, Domain: w.Domain, Count: w.Count, Spot: w.Spot})
-		cancel()
-		var status *platform.StatusError
-		none := errors.As(err, &status) && status.Status == http.StatusConflict
-		if none && w.Spot {
-			x.scaler(w.Service).Refused(w.Domain)
-		}
-		x.logger.Info().Str("Service", string(w.Service)).Str("Domain", string(w.Domain)).Int("Count", w.Count).Bool("Spot", w.Spot).
-			Int64("Epoch", int64(a.Epoch)).Bool("NoneToBeHad", none).Err(err).Msg("EndpointsOrdered")
-	}
-}
-
-// stage orders engines to another stage.
-func (x *duties) stage(ctx context.Context, changes []fleet.Change) {
-	now := time.Now()
-	for _, c := range changes {
-		entry := c.Endpoint.Entry()
-		if now.Sub(x.staged[entry.Key]) < stageAgain {
-			continue
-		}
-		a, held := x.authority()
-		if !held {
-			return
-		}
-		x.staged[entry.Key] = now
-		c.Endpoint.Changing(c.To, now.Add(stageAgain))
-		x.peers.Ordered(entry.ID, c.To, now.Add(stageAgain))
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := x.client.ChangeStage(callCtx, a, entry, c.To)
-		cancel()
-		x.logger.Info().Str("Endpoint", string(entry.ID)).Str("From", entry.Stage.String()).Str("To", c.To.String()).
-			Int64("Epoch", int64(a.Epoch)).Err(err).Msg("StageOrdered")
-	}
-}
--- a/router/serve.go
+++ b/router/serve.go
@@ -40,79 +40,141 @@
 // tidyEvery is how often idle connections and lapsed endpoints are looked at.
 const tidyEvery = 500 * time.Millisecond
 
-// serve runs an instance until ctx ends.
-func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
-	signal.Ignore(syscall.SIGPIPE)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// node is one instance and what it consists of.
+type node struct {
+	settings  *platform.Settings
+	logger    *log.Logger
+	self      lease.Identity
+	directory *roster.Directory
+	store     *platform.Store
+	agreed    *truetime.Clock
+	counter   *metering.Counter
+	pool      *link.Pool[roster.Key]
+	reports   *peerload.Reporter
+	board     *peerload.Board
+	relay     *relay.Relay
+	front     *front
+	idle      *idleConns
+	peers     *peers
+	share     *retry.Share
+	// failed takes the error of a listener that ended.
+	failed chan error
+	hup    chan os.Signal
+}
+
+func newNode(s *platform.Settings, logger *log.Logger) *node {
 	clock := clockwork.NewRealClock()
-	directory := roster.NewDirectory()
-	agreed := truetime.New(bootClock{}.Monotonic, time.Now)
-	store := platform.NewStore(s.StoreAddress, agreed.Observe)
-	pool := link.NewPool[roster.Key](clock, link.DialQuick)
-	courier := platform.NewCourier(pool, clock)
-	counter := metering.NewCounter(s.Bounds.UsageWindow, agreed.Now)
+	n := &node{
+		settings:  s,
+		logger:    logger,
+		self:      lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())},
+		directory: roster.NewDirectory(),
+		agreed:    truetime.New(bootClock{}.Monotonic, time.Now),
+		pool:      link.NewPool[roster.Key](clock, link.DialQuick),
+		idle:      newIdleConns(),
+		share:     retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, clock.Now()),
+		failed:    make(chan error, listeners),
+		hup:       make(chan os.Signal, 1),
+	}
+	n.store = platform.NewStore(s.StoreAddress, n.agreed.Observe)
+	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreed.Now)
+	n.reports = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, n.directory)
+	n.board = peerload.NewBoard(s.Instance, n.directory)
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
-	self := lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())}
-	reporter := peerload.NewReporter(s.Instance, self.Incarnation, s.PeerAddress, directory)
-	board := peerload.NewBoard(s.Instance, directory)
-	r := relay.New(directory, courier, counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(reporter.Used))
+	courier := platform.NewCourier(n.pool, clock)
+	n.relay = relay.New(n.directory, courier, n.counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(n.reports.Used))
+	n.front = &front{relay: n.relay, logger: logger}
+	return n
+}
 
+// serve runs an instance until ctx ends.
+func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
+	signal.Ignore(syscall.SIGPIPE)
+	n := newNode(s, logger)
+	// SIGHUP is taken until the process ends; by default it would end it.
+	signal.Notify(n.hup, syscall.SIGHUP)
 	work, stopWork := context.WithCancel(process.Hard(ctx))
-	go followConfiguration(store, r, logger).run(work)
-	go followReplicas(store, directory, logger).run(work)
 	var last sync.WaitGroup
 	defer last.Wait()
 	defer stopWork()
-	x := newDuties(s, store, agreed, counter, r, directory, reporter, board, self, logger)
-	last.Go(func() { x.run(work) })
-	peers, err := newPeers(work, s.PeerAddress, reporter, board, logger)
+	if err := n.start(work, &last); err != nil {
+		return err
+	}
+	server, err := n.listen(o)
 	if err != nil {
 		return err
 	}
-	register := membership.NewRegister(store, s.Instance, s.Domain, s.PeerAddress, agreed.Now)
-	last.Go(func() { keepMembers(work, register, peers, logger) })
-	instances := func() int { return len(peers.addresses()) + 1 }
-	last.Go(func() { writeUsage(work, store, agreed, counter, self, instances, logger) })
-	share := retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, time.Now())
-
-	f := &front{relay: r, logger: logger}
-	idle := newIdleConns()
-	frontServer := newFrontServer(f, idle)
-	readyServer := newReadyServer(func() bool { return r.Table() != nil && !f.leaving.Load() })
-	failed := make(chan error, 3)
-	if err := listen(frontServer, s.CallerAddress, failed); err != nil {
+	logger.Info().Str("Caller", s.CallerAddress).Str("Domain", string(s.Domain)).Msg("Started")
+	if err := n.watch(ctx); err != nil {
 		return err
 	}
-	if err := listen(readyServer, s.ReadyAddress, failed); err != nil {
+	n.front.leaving.Store(true)
+	logger.Info().Msg("Stopping")
+	return stop(server, s.Bounds.StopGrace, logger)
+}
+
+// start begins what runs beside the callers' requests. What writes to the store once more at the end is added to last.
+func (n *node) start(ctx context.Context, last *sync.WaitGroup) error {
+	s := n.settings
+	var err error
+	if n.peers, err = newPeers(ctx, s.PeerAddress, n.reports, n.board, n.logger); err != nil {
 		return err
 	}
-	if o.Metrics != "" {
-		host, _, err := net.SplitHostPort(s.CallerAddress)
-		if err != nil {
-			return err
-		}
-		server := process.NewServer(process.NewOperations().Router)
-		if err := listen(server, net.JoinHostPort(host, o.Metrics), failed); err != nil {
-			return err
-		}
+	go followConfiguration(n.store, n.relay, n.logger).run(ctx)
+	go followReplicas(n.store, n.directory, n.logger).run(ctx)
+	x := newDuties(dutyParts{
+		settings: s, self: n.self, store: n.store, clock: n.agreed, counter: n.counter, relay: n.relay, directory: n.directory,
+		reports: n.reports, board: n.board, logger: n.logger,
+	})
+	register := membership.NewRegister(n.store, s.Instance, s.Domain, s.PeerAddress, n.agreed.Now)
+	last.Go(func() { x.run(ctx) })
+	last.Go(func() { keepMembers(ctx, register, n.peers, n.logger) })
+	last.Go(func() { writeUsage(ctx, n.store, n.agreed, n.counter, n.self, n.instances, n.logger) })
+	return nil
+}
+
+// instances counts the instances alive, this one included.
+func (n *node) instances() int {
+	return len(n.peers.addresses()) + 1
+}
+
+// listeners is how many addresses an instance listens at for HTTP.
+const listeners = 3
+
+// listen opens the instance's addresses and returns the callers' server.
+func (n *node) listen(o options) (*http.Server, error) {
+	server := newFrontServer(n.front, n.idle)
+	if err := listen(server, n.settings.CallerAddress, n.failed); err != nil {
+		return nil, err
 	}
-	logger.Info().Str("Caller", s.CallerAddress).Str("Domain", string(s.Domain)).Msg("Started")
+	ready := newReadyServer(func() bool { return n.relay.Table() != nil && !n.front.leaving.Load() })
+	if err := listen(ready, n.settings.ReadyAddress, n.failed); err != nil {
+		return nil, err
+	}
+	if o.Metrics == "" {
+		return server, nil
+	}
+	host, _, err := net.SplitHostPort(n.settings.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	return server, listen(process.NewServer(process.NewOperations().Router), net.JoinHostPort(host, o.Metrics), n.failed)
+}
+
+// watch tidies up until ctx ends, or returns the error of a listener.
+func (n *node) watch(ctx context.Context) error {
 	ticker := time.NewTicker(tidyEvery)
 	defer ticker.Stop()
 	for {
 		select {
-		case err := <-failed:
+		case err := <-n.failed:
 			return err
-		case <-hup:
-			logger.Info().Msg("Reloaded")
+		case <-n.hup:
+			n.logger.Info().Str("Reason", "a changed settings file takes effect at the next start").Msg("Reloaded")
 		case <-ticker.C:
-			tidy(directory, pool, f, idle, logger)
-			r.SetSlack(share.Slack(time.Now(), instances()))
+			n.tidy()
 		case <-ctx.Done():
-			f.leaving.Store(true)
-			logger.Info().Msg("Stopping")
-			return stop(frontServer, s.Bounds.StopGrace, logger)
+			return nil
 		}
 	}
 }
@@ -130,17 +192,18 @@
 	return nil
 }
 
-// tidy closes what is idle for too long and drops endpoints whose entries lapsed.
-func tidy(d *roster.Directory, pool *link.Pool[roster.Key], f *front, idle *idleConns, logger *log.Logger) {
-	settle(d, logger)
-	all := d.View().All()
-	pool.Retain(func(k roster.Key) bool {
+// tidy closes what is idle for too long, drops endpoints whose entries lapsed, and takes its share of the retry slack.
+func (n *node) tidy() {
+	settle(n.directory, n.logger)
+	all := n.directory.View().All()
+	n.pool.Retain(func(k roster.Key) bool {
 		e, known := all[k.ID]
 		return known && e.Entry().Key == k
 	})
-	if limit := f.limits().IdleTimeout; limit > 0 {
-		idle.closeOlder(limit)
+	if limit := n.front.limits().IdleTimeout; limit > 0 {
+		n.idle.closeOlder(limit)
 	}
+	n.relay.SetSlack(n.share.Slack(time.Now(), n.instances()))
 }
 
 // stop waits until the platform has noticed that the instance is not ready, and then until open requests have ended.
