Let only the sender end an exchange with a replica

What the kernel ends it does not reset, and the bytes that the cut held up arrived 6 s later, when the replica had left.

Now: the kernel watches no connection to a replica; the sender's bounds on silence end each exchange with a reset: prefills after 800 ms at least, and a resumable stream after six of its longest pauses. Connections to the store and the interface of duties stay watched, with bounds of their calls below the kernel's.

Ruled out: a late feed (the request was given up 4 s before the replica said that it leaves).

--- a/router/serve.go
+++ b/router/serve.go
@@ -70,7 +70,7 @@
 		self:      lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())},
 		directory: roster.NewDirectory(),
 		agreed:    truetime.New(bootClock{}.Monotonic, time.Now),
-		pool:      link.NewPool[roster.Key](clock, link.DialQuick),
+		pool:      link.NewPool[roster.Key](clock, link.DialEndpoint),
 		idle:      newIdleConns(),
 		share:     retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, clock.Now()),
 		failed:    make(chan error, listeners),
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -146,7 +146,7 @@
 func (j *job) stream(ctx context.Context, w *watch, e *roster.Endpoint, a *Answer) bool {
 	for {
 		event, id, err := a.Body.Next()
-		w.heard()
+		w.heardEvent(pausesOfSilence * j.route.MaxPause)
 		if errors.Is(err, io.EOF) {
 			return j.streamEnded(e, a)
 		}
--- a/serving/relay/silence.go
+++ b/serving/relay/silence.go
@@ -15,9 +15,12 @@
 	// goalsOfSilence is how many of its route's goals a repeatable request waits for the first sign of an answer.
 	goalsOfSilence = 2
 	// estimatesOfSilence and leastSilence bound the wait for a prefill, which does not run the request: three times the expected
-	// time, but not less than a second.
+	// time, but not less than 800 ms.
 	estimatesOfSilence = 3
-	leastSilence       = time.Second
+	leastSilence       = 800 * time.Millisecond
+	// pausesOfSilence is how many of its route's longest pauses a stream that may go on elsewhere waits for the next event. It is
+	// below the time after which clients leave a stream.
+	pausesOfSilence = 6
 )
 
 // errSilent ends a send to an endpoint that gave no sign of an answer for too long.
@@ -47,6 +50,14 @@
 	}
 }
 
+// heardEvent begins the wait for the next event of a stream, if silence is watched.
+func (w *watch) heardEvent(limit time.Duration) {
+	w.heard()
+	if w.timer != nil && limit > 0 {
+		w.timer.Reset(limit)
+	}
+}
+
 // end ends the send.
 func (w *watch) end() {
 	w.heard()
--- a/shared/link/pool_test.go
+++ b/shared/link/pool_test.go
@@ -35,7 +35,7 @@
 	t.Cleanup(func() { _ = l.Close() })
 	p := &pair{t: t, clock: clockwork.NewFakeClock(), peers: make(chan net.Conn, 8)}
 	p.pool = link.NewPool[string](p.clock, func(ctx context.Context, _, _ string) (net.Conn, error) {
-		c, err := link.DialQuick(ctx, "tcp", l.Addr().String())
+		c, err := link.DialEndpoint(ctx, "tcp", l.Addr().String())
 		if err != nil {
 			return nil, err
 		}
