--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -38,6 +38,8 @@
 	errs
 	// hangs runs the request and is silent until the sender gives up.
 	hangs
+	// stalls runs the request and falls silent in the middle of the answer.
+	stalls
 	// busy answers 503 without saying that the request did not run.
 	busy
 	deeds
@@ -100,7 +102,7 @@
 		}
 		first = last + 1
 	}
-	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaks: d == breaks}}, nil
+	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaks: d == breaks, stalls: d == stalls, ctx: ctx}}, nil
 }
 
 func (f *fleet) Prefilled(a *relay.Answer) (string, error) {
@@ -115,12 +117,18 @@
 	text   string
 	next   int
 	breaks bool
+	stalls bool
+	ctx    context.Context
 }
 
 func (b *body) Next() ([]byte, string, error) {
 	if b.breaks && b.next > pieces/2 {
 		return nil, "", io.ErrUnexpectedEOF
 	}
+	if b.stalls && b.next > pieces/2 {
+		<-b.ctx.Done()
+		return nil, "", context.Cause(b.ctx)
+	}
 	if b.next > pieces {
 		return nil, "", io.EOF
 	}
@@ -133,6 +141,10 @@
 	if b.breaks {
 		return nil, io.ErrUnexpectedEOF
 	}
+	if b.stalls {
+		<-b.ctx.Done()
+		return nil, context.Cause(b.ctx)
+	}
 	return []byte(b.text), nil
 }
 
@@ -201,7 +213,7 @@
 }
 
 func table(v route.Version) *route.Table {
-	base := route.Route{Host: "h", Timeout: 300 * time.Millisecond, Goal: 10 * time.Millisecond, MaxAttempts: 2, Public: true}
+	base := route.Route{Host: "h", Timeout: 300 * time.Millisecond, Goal: 10 * time.Millisecond, MaxPause: 2 * time.Millisecond, MaxAttempts: 2, Public: true}
 	add := func(prefix string, kind route.Kind, resumable bool, service wire.ServiceName) *route.Route {
 		r := base
 		r.Name, r.Prefix, r.Kind, r.Resumable = prefix, prefix, kind, resumable
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -112,6 +112,21 @@
 	}
 }
 
+func TestStreamThatPausesForTooLongGoesOnElsewhere(t *testing.T) {
+	stalled := false
+	w := newWorld(func(a *relay.Attempt) deed {
+		if a.PrefillOnly || stalled {
+			return answers
+		}
+		stalled = true
+		return stalls
+	})
+	c := w.ask(t, "/resume/")
+	if !c.ended || c.events != wholeStream() || w.fleet.runs != 2 {
+		t.Errorf("got %q, ended %v, after %d runs", c.events, c.ended, w.fleet.runs)
+	}
+}
+
 func TestStreamThatMayNotGoOnLooksCut(t *testing.T) {
 	w := newWorld(func(a *relay.Attempt) deed {
 		if a.PrefillOnly {
