Say once when an engine reads a prompt itself, and drop what nothing reads

Cause: two bounds of the same value and a gain that no choice went by any more; an answer's field and two settings of a server without use.

Ruled out: none.

--- a/router/front.go
+++ b/router/front.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -72,8 +70,6 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         idle.note,
-		ErrorLog:          nil,
-		BaseContext:       func(net.Listener) context.Context { return context.Background() },
 	}
 }
 
--- a/serving/placement/choose_test.go
+++ b/serving/placement/choose_test.go
@@ -92,9 +92,9 @@
 		}
 		other := rapid.Permutation(list).Draw(t, "order")
 		need := placement.Need{Stage: roster.Prefill, Near: "a"}
-		a, spent := placement.Reader(list, &p, need, now)
-		b, _ := placement.Reader(other, &p, need, now)
-		if a != b || spent <= 0 {
+		a := placement.Reader(list, &p, need, now)
+		b := placement.Reader(other, &p, need, now)
+		if a != b || placement.ReadTime(a, &p, now) <= 0 {
 			t.Fatalf("one chose %s, another %s", a.Entry().ID, b.Entry().ID)
 		}
 	})
@@ -104,14 +104,16 @@
 	list := engines(4, roster.Prefill, "a")
 	p := prompt("x", 13300, 1000)
 	need := placement.Need{Stage: roster.Prefill, Near: "a"}
-	first, cold := placement.Reader(list, &p, need, now)
+	first := placement.Reader(list, &p, need, now)
+	cold := placement.ReadTime(first, &p, now)
 	first.Learn(p.Shared(), now)
-	again, warm := placement.Reader(list, &p, need, now)
+	again := placement.Reader(list, &p, need, now)
+	warm := placement.ReadTime(again, &p, now)
 	if again != first || warm >= cold/2 {
 		t.Errorf("went to %s in %v after %s in %v", again.Entry().ID, warm, first.Entry().ID, cold)
 	}
 	first.SetPeers(60000, 5)
-	if busy, _ := placement.Reader(list, &p, need, now); busy == first {
+	if placement.Reader(list, &p, need, now) == first {
 		t.Error("waited behind 60000 tokens for a part of 13300")
 	}
 }
--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -22,14 +22,14 @@
 	stepTime = 1.0
 )
 
-// Reader returns the engine that would have read a prompt first, and in what time. It goes by the tokens that wait there,
-// and by what is left to read where parts of the prompt are kept. It returns nil if nothing suits.
-func Reader(suited []*roster.Endpoint, p *Prompt, need Need, now time.Time) (*roster.Endpoint, time.Duration) {
+// Reader returns the engine that would have read a prompt first. It goes by the tokens that wait there, and by what is left to
+// read where parts of the prompt are kept. It returns nil if nothing suits.
+func Reader(suited []*roster.Endpoint, p *Prompt, need Need, now time.Time) *roster.Endpoint {
 	return quickest(suited, p, need.Near, prefillRate, now)
 }
 
-// Decoder returns the engine that would generate first, and in what time if it has to read the prompt itself.
-func Decoder(suited []*roster.Endpoint, p *Prompt, need Need, now time.Time) (*roster.Endpoint, time.Duration) {
+// Decoder returns the engine that would generate first if it has to read the prompt itself, or nil if nothing suits.
+func Decoder(suited []*roster.Endpoint, p *Prompt, need Need, now time.Time) *roster.Endpoint {
 	return quickest(suited, p, need.Near, decodeRate, now)
 }
 
@@ -46,8 +46,8 @@
 	return float64(e.PrefillLoad()+p.Unread(e.Kept(p.IDs, now)))/rate + stepTime*float64(e.InFlight())
 }
 
-func quickest(suited []*roster.Endpoint, p *Prompt, near wire.DomainName, rate float64, now time.Time) (*roster.Endpoint, time.Duration) {
-	best := least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, place int) float64 {
+func quickest(suited []*roster.Endpoint, p *Prompt, near wire.DomainName, rate float64, now time.Time) *roster.Endpoint {
+	return least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, place int) float64 {
 		cost := readMillis(e, p, rate, now)
 		if place > 0 {
 			cost += affinity
@@ -57,10 +57,6 @@
 		}
 		return cost
 	})
-	if best == nil {
-		return nil, 0
-	}
-	return best, time.Duration(readMillis(best, p, rate, now) * float64(time.Millisecond))
 }
 
 // Taker returns the engine that generates from a KV cache which a prefill engine of a failure domain holds: the least busy one
--- a/serving/placement/load_test.go
+++ b/serving/placement/load_test.go
@@ -73,7 +73,7 @@
 		})
 		q := prompt(fmt.Sprint(rng.IntN(p.parts)), 6000+rng.IntN(8000), 500+rng.IntN(3000))
 		view := views[rng.IntN(p.instances)]
-		e, _ := placement.Reader(view, &q, placement.Need{Stage: roster.Prefill, Near: "a"}, t)
+		e := placement.Reader(view, &q, placement.Need{Stage: roster.Prefill, Near: "a"}, t)
 		at := real[e.Entry().ID]
 		unread := q.Tokens
 		if at.kept[q.Shared()[0]] {
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -9,32 +9,23 @@
 	"cowslipshunt.example/serving/roster"
 )
 
-// Bounds of what a decoding engine reads itself, between the tokens of the streams that it generates.
-const (
-	// directTokens does not make those streams late.
-	directTokens = 1000
-	// maxDirectTokens may, which only pays if the prefill engines would be slower by directGain.
-	maxDirectTokens = 1000
-	directGain      = 250 * time.Millisecond
-)
+// directTokens is how long a prompt may be that a decoding engine reads itself, between the tokens of the streams that it
+// generates: a longer one makes those late.
+const directTokens = 1000
 
 // prefillTries bounds the prefill engines that are asked before the decoding engine reads the prompt itself.
 const prefillTries = 2
 
 // chooseEngine returns the engine that generates. A long prompt is read by a prefill engine first.
 func (j *job) chooseEngine(ctx context.Context) *roster.Endpoint {
+	if j.request.Prompt.Tokens <= directTokens || j.lastEvent != "" || j.source != nil {
+		return j.decoder()
+	}
 	for range prefillTries {
-		decoder, direct := j.decoder()
-		if j.lastEvent != "" || j.source != nil {
-			return decoder
-		}
 		need := j.need(roster.Prefill)
-		reader, apart := placement.Reader(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
-		if reader == nil || decoder != nil && j.readsItself(decoder, direct, apart) {
-			return decoder
-		}
-		if !j.maySend() {
-			return decoder
+		reader := placement.Reader(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
+		if reader == nil || !j.maySend() {
+			return j.decoder()
 		}
 		if j.prefill(ctx, reader) {
 			return placement.Taker(j.endpoints(j.need(roster.Decode)), &j.request.Prompt, reader.Entry().Domain)
@@ -43,23 +34,15 @@
 			return nil
 		}
 	}
-	decoder, _ := j.decoder()
-	return decoder
+	return j.decoder()
 }
 
-// decoder returns the engine that would generate first without help, and when.
-func (j *job) decoder() (*roster.Endpoint, time.Duration) {
+// decoder returns the engine that would generate first if it reads the prompt itself.
+func (j *job) decoder() *roster.Endpoint {
 	need := j.need(roster.Decode)
 	return placement.Decoder(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
 }
 
-// readsItself tells whether a decoding engine should read the prompt itself, given the times until the prompt is read there
-// and apart.
-func (j *job) readsItself(decoder *roster.Endpoint, direct, apart time.Duration) bool {
-	unread := j.request.Prompt.Tokens
-	return unread <= directTokens || unread <= maxDirectTokens && direct+directGain < apart
-}
-
 // prefill has the prompt read and tells whether its KV cache is there.
 func (j *job) prefill(ctx context.Context, e *roster.Endpoint) bool {
 	release := j.begin(e, j.unread(e))
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -64,9 +64,7 @@
 	NotRun bool
 	// Misdirected tells that another incarnation has the address.
 	Misdirected bool
-	// Leaving tells that the endpoint closes the connection.
-	Leaving bool
-	Body    Body
+	Body        Body
 }
 
 // Success tells whether the status is one of success.
