--- a/router/duties.go
+++ b/router/duties.go
@@ -21,7 +21,7 @@
 
 // Times of the duties.
 const (
-	// dutyEvery is how often the duties are looked at; a third of the lease's renewal.
+	// dutyEvery is how often the duties are looked at: twice for each renewal of the lease.
 	dutyEvery = 500 * time.Millisecond
 	// orderTimeout bounds an order or a call to the platform; the lease has to be held for at least as long.
 	orderTimeout = 700 * time.Millisecond
--- a/router/follower.go
+++ b/router/follower.go
@@ -41,7 +41,6 @@
 		err := f.step(ctx)
 		if err == nil {
 			pause = retryAtFirst
-			f.regained()
 			continue
 		}
 		var history *platform.HistoryLostError
--- a/router/front.go
+++ b/router/front.go
@@ -50,12 +50,13 @@
 }
 
 func (f *front) maxBody() int64 {
-	if t := f.relay.Table(); t != nil && t.Limits.MaxBody > 0 {
-		return t.Limits.MaxBody
+	if n := f.limits().MaxBody; n > 0 {
+		return n
 	}
 	return defaultMaxBody
 }
 
+// limits are those of the configuration in force, or none.
 func (f *front) limits() route.Limits {
 	if t := f.relay.Table(); t != nil {
 		return t.Limits
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -96,9 +96,7 @@
 	} else {
 		e.Rejected(j.relay.clock.Now())
 	}
-	if j.source != nil {
-		j.freeSource()
-	}
+	j.freeSource()
 	j.decided("Rejected", e, a.Status, "the endpoint did not run the request", nil)
 }
 
@@ -110,12 +108,10 @@
 		j.failed(ctx, e, err)
 		return false
 	}
-	if a.Status >= 500 && j.mayRun() && !j.begun {
-		if other := j.another(e); other {
-			j.not = append(j.not, e.Entry().ID)
-			j.decided("Retried", e, a.Status, "the endpoint answered with a failure", nil)
-			return false
-		}
+	if a.Status >= 500 && !j.begun && j.mayRun() && j.another(e) {
+		j.not = append(j.not, e.Entry().ID)
+		j.decided("Retried", e, a.Status, "the endpoint answered with a failure", nil)
+		return false
 	}
 	if a.Status < 500 {
 		j.worked(e)
