Hold up no usage window for an instance that is gone

Cause: a window was frozen early only once every writer of it or of the one before had gone on. Rows of counts now say when they were written; a writer that was silent for as long as a report may take is not waited for. The test is red with the rule off. What is left: counts that instances lose when they are stopped while the store is away.

--- a/router/duties.go
+++ b/router/duties.go
@@ -77,8 +77,9 @@
 		scalers:   map[wire.ServiceName]*fleet.Scaler{},
 		staged:    map[roster.Key]time.Time{},
 	}
-	settle := bounds.UsageDue * settleParts / 10
-	x.reporter = metering.NewReporter(p.store, keeper, x, p.counter, settle, metering.WithLate(x.usageLate))
+	// An instance that was silent for as long as a report may take could add nothing to a report that is in time.
+	usage := metering.Bounds{Settle: bounds.UsageDue * settleParts / 10, Gone: bounds.UsageDue}
+	x.reporter = metering.NewReporter(p.store, keeper, x, p.counter, usage, metering.WithLate(x.usageLate))
 	return x
 }
 
--- a/serving/metering/counter_test.go
+++ b/serving/metering/counter_test.go
@@ -55,7 +55,7 @@
 	if err := c.Write(t.Context(), table, "i", "1"); err != nil {
 		t.Fatal(err)
 	}
-	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != `{"a":1}` {
+	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != `{"Counts":{"a":1},"Written":"2001-09-09T02:46:40Z"}` {
 		t.Errorf("got %v", rows)
 	}
 }
@@ -79,13 +79,13 @@
 	table.DeliverLate()
 	write(tabletest.Lost)
 	write(tabletest.None)
-	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != `{"a":5}` {
+	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != `{"Counts":{"a":5},"Written":"2001-09-09T01:46:40Z"}` {
 		t.Errorf("got %s", rows[0].Value)
 	}
 	write(tabletest.Late)
 	write(tabletest.None)
 	table.DeliverLate()
-	if rows := table.Rows(metering.CountTable, ""); string(rows[0].Value) != `{"a":7}` {
+	if rows := table.Rows(metering.CountTable, ""); string(rows[0].Value) != `{"Counts":{"a":7},"Written":"2001-09-09T01:46:40Z"}` {
 		t.Errorf("a late write took counts back: %s", rows[0].Value)
 	}
 }
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -41,8 +40,8 @@
 	Window Window
 	Counts Counts
 	Epoch  wire.Epoch
-	// Writers are the instances that wrote counts of the window.
-	Writers  []wire.InstanceName
+	// Writers are the instances that wrote counts of the window, with the agreed time of each one's last write.
+	Writers  map[wire.InstanceName]time.Time
 	Reported bool
 }
 
@@ -60,8 +59,7 @@
 	fence    Fence
 	platform Platform
 	counter  *Counter
-	// settle is how long after a window's end it is frozen although counts may be missing.
-	settle time.Duration
+	bounds   Bounds
 	// late is told of counts that came after their window was frozen. They are not reported: a window has one set of counts.
 	late func(w Window, counts Counts)
 
@@ -70,8 +68,16 @@
 	next   Window
 	open   []frozen
 	kept   []Window
-	// writers are the instances that wrote counts of the window that was frozen last, nil if that is not known.
-	writers map[wire.InstanceName]bool
+	// writers are the instances that wrote counts of the window that was frozen last and when, nil if that is not known.
+	writers map[wire.InstanceName]time.Time
+}
+
+// Bounds are how long the counts of instances that do not write are waited for.
+type Bounds struct {
+	// Settle is how long after a window's end it is frozen although counts may be missing.
+	Settle time.Duration
+	// Gone is how long after its last write an instance counts as gone: no window waits for it any more.
+	Gone time.Duration
 }
 
 // Option changes a reporter.
@@ -84,9 +90,9 @@
 	}
 }
 
-// NewReporter returns a reporter that freezes a window at the latest settle after its end.
-func NewReporter(t Table, f Fence, p Platform, c *Counter, settle time.Duration, opts ...Option) *Reporter {
-	r := &Reporter{table: t, fence: f, platform: p, counter: c, settle: settle, late: func(Window, Counts) {}}
+// NewReporter returns a reporter that has reported nothing.
+func NewReporter(t Table, f Fence, p Platform, c *Counter, b Bounds, opts ...Option) *Reporter {
+	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -126,10 +132,7 @@
 			return fmt.Errorf("decode window %s: %w", row.Key, err)
 		}
 		r.next = w.Window + 1
-		r.writers = map[wire.InstanceName]bool{}
-		for _, instance := range w.Writers {
-			r.writers[instance] = true
-		}
+		r.writers = w.Writers
 		if w.Reported {
 			r.kept = append(r.kept, w.Window)
 			continue
@@ -153,7 +156,7 @@
 		if err != nil {
 			return err
 		}
-		if !sum.complete(r.writers) && now.Before(r.counter.End(r.next).Add(r.settle)) {
+		if !sum.complete(r.writers, now.Add(-r.bounds.Gone)) && now.Before(r.counter.End(r.next).Add(r.bounds.Settle)) {
 			return nil
 		}
 		if err := r.freeze(ctx, sum); err != nil {
@@ -178,7 +181,7 @@
 
 // freeze writes a window's counts once. From then on the window has these counts, whoever reports it.
 func (r *Reporter) freeze(ctx context.Context, s *windowSum) error {
-	f := frozen{row: windowRow{Window: s.window, Counts: s.counts, Epoch: r.epoch, Writers: slices.Sorted(maps.Keys(s.writers))}, sources: s.sources}
+	f := frozen{row: windowRow{Window: s.window, Counts: s.counts, Epoch: r.epoch, Writers: s.writers}, sources: s.sources}
 	answer, err := r.put(ctx, f.row, 0, nil)
 	if err != nil {
 		return err
--- a/serving/metering/reporter_test.go
+++ b/serving/metering/reporter_test.go
@@ -15,8 +15,11 @@
 	"pgregory.net/rapid"
 )
 
-// settle is how long after its end a window is frozen in these tests.
-const settle = 5 * time.Second
+// Bounds of these tests: how long after its end a window is frozen, and after what silence an instance is gone.
+const (
+	settle = 5 * time.Second
+	gone   = 8 * time.Second
+)
 
 // clock is the agreed time and every instance's steady clock.
 type clock struct{ now time.Time }
@@ -96,7 +99,7 @@
 	i.counter = metering.NewCounter(length, m.clock.Now)
 	self := lease.Identity{Instance: i.instance, Incarnation: i.name}
 	i.keeper = lease.NewKeeper("duties", self, m.table, m.clock)
-	i.reporter = metering.NewReporter(m.table, i.keeper, m.platform, i.counter, settle,
+	i.reporter = metering.NewReporter(m.table, i.keeper, m.platform, i.counter, metering.Bounds{Settle: settle, Gone: gone},
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }))
 	return i
 }
@@ -188,3 +191,31 @@
 		}
 	})
 }
+
+// TestInstanceThatIsGoneHoldsUpNoLaterWindow loses one of three instances for good. The window after the one in which it fell
+// silent must not wait for it: a store that fails before the wait is over would make the report late.
+func TestInstanceThatIsGoneHoldsUpNoLaterWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newUsageModel(t)
+		m.calm = true
+		began := func(list []*instance, d time.Duration) {
+			for range int(d / time.Second) {
+				for _, i := range list {
+					m.began(i)
+				}
+				m.run(time.Second)
+			}
+		}
+		silent := time.Duration(rapid.IntRange(0, 4).Draw(t, "silent")) * time.Second
+		began(m.instances, 2*length+silent)
+		lost := m.instances[0].counter.At(m.clock.now)
+		m.instances = m.instances[1:]
+		end := m.instances[0].counter.End(lost + 1)
+		began(m.instances, end.Sub(m.clock.now)+2*time.Second)
+		m.clock.now = end.Add(settle - 2*time.Second)
+		m.run(time.Second)
+		if _, reported := m.platform.reports[lost+1]; !reported {
+			t.Errorf("window %d waits for an instance that fell silent in window %d; reported are %v", lost+1, lost, m.platform.reports)
+		}
+	})
+}
--- a/serving/metering/rows.go
+++ b/serving/metering/rows.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"cowslipshunt.example/wire"
 )
@@ -25,6 +26,13 @@
 	Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error)
 }
 
+// countRow is what the store holds of one incarnation's counts of a window.
+type countRow struct {
+	Counts Counts
+	// Written is the agreed time of the write.
+	Written time.Time
+}
+
 func windowKey(w Window) string {
 	return fmt.Sprintf("%012d", w)
 }
@@ -75,7 +83,7 @@
 func (c *Counter) transaction(dirty map[Window]Counts, instance wire.InstanceName, incarnation wire.IncarnationId) (wire.TransactRequest, error) {
 	var r wire.TransactRequest
 	for w, counts := range dirty {
-		value, err := json.Marshal(counts)
+		value, err := json.Marshal(countRow{Counts: counts, Written: c.now().UTC()})
 		if err != nil {
 			return r, err
 		}
