Hand unwritten usage counts to peers

Now each write that fails sends copies to three peers by datagram; a peer writes them, under the owner's key, once the owner has said that it stops or has been silent for 5 s. Counts of an incarnation only rise and each write names the revision that it replaces, so a copy never doubles or takes back. A frozen window lists the rows that it sums up, so a new holder removes just these: before, it took them for late counts once more. Ruled out: longer waits for a window (the counts were gone), acknowledged calls to one peer (it may be the next to stop). Tests: rolling stops in an outage lose nothing (red without the hand-off: windows short; red when an instance takes its own copy back), hand-offs never take counts back, and the fuzzed model has stops and outages.

--- a/router/peers.go
+++ b/router/peers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -8,8 +9,11 @@
 	"sync"
 	"time"
 
+	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 )
@@ -25,20 +29,34 @@
 	maxDatagram         = 1400
 )
 
+// handoffCopies is how many peers get a copy of counts that could not be written: the loss of a failure domain, or of the
+// instances that stop next, leaves one.
+const handoffCopies = 3
+
+// message is one datagram: a report of load or a hand-off of counts.
+type message struct {
+	Report  *peerload.Report  `cbor:"1,keyasint,omitempty"`
+	Handoff *metering.Handoff `cbor:"2,keyasint,omitempty"`
+}
+
 // peers sends this instance's load to the others and takes theirs, by datagrams.
 type peers struct {
+	self     lease.Identity
 	conn     *net.UDPConn
 	reporter *peerload.Reporter
 	board    *peerload.Board
+	handoffs *metering.Handoffs
 	logger   *log.Logger
+	closed   context.Context
+	stop     context.CancelFunc
 
 	mu sync.Mutex
 	// listed are the addresses that the store lists.
 	listed []string
 }
 
-// newPeers listens at an address and exchanges reports until ctx ends.
-func newPeers(ctx context.Context, address string, reporter *peerload.Reporter, board *peerload.Board, logger *log.Logger) (*peers, error) {
+// newPeers listens at an address and exchanges reports until it is closed.
+func newPeers(self lease.Identity, address string, reporter *peerload.Reporter, board *peerload.Board, handoffs *metering.Handoffs, logger *log.Logger) (*peers, error) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
@@ -47,13 +65,19 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{conn: conn, reporter: reporter, board: board, logger: logger}
-	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	go p.take(ctx)
-	go p.send(ctx)
+	p := &peers{self: self, conn: conn, reporter: reporter, board: board, handoffs: handoffs, logger: logger}
+	p.closed, p.stop = context.WithCancel(context.Background())
+	go p.take(p.closed)
+	go p.send(p.closed)
 	return p, nil
 }
 
+// close ends the exchange.
+func (p *peers) close() {
+	p.stop()
+	_ = p.conn.Close()
+}
+
 func (p *peers) setAddresses(list []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -80,12 +104,17 @@
 			}
 			continue
 		}
-		var r peerload.Report
-		if err := cbor.Unmarshal(buffer[:n], &r); err != nil {
+		var m message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
 			metrics.GetOrCreateCounter("router_peer_reports_rejected_total").Inc()
 			continue
 		}
-		p.board.Take(r, time.Now())
+		if m.Report != nil {
+			p.board.Take(*m.Report, time.Now())
+		}
+		if m.Handoff != nil {
+			p.handoffs.Take(*m.Handoff, time.Now())
+		}
 	}
 }
 
@@ -111,15 +140,48 @@
 	}
 }
 
+// broadcast sends a report to all. One that does not fit into a datagram goes without what matters least.
 func (p *peers) broadcast(report peerload.Report, to []string) {
-	data, err := cbor.Marshal(report)
-	if err != nil || len(data) > maxDatagram {
-		p.logger.Warn().Int("Bytes", len(data)).Err(err).Msg("PeerReportNotSent")
-		return
+	for {
+		data, err := cbor.Marshal(message{Report: &report})
+		if err != nil {
+			p.logger.Error().Err(err).Msg("PeerReportNotSent")
+			return
+		}
+		if len(data) <= maxDatagram {
+			p.transmit(data, to)
+			return
+		}
+		if len(report.Uses)+len(report.Loads) == 0 {
+			p.logger.Error().Int("Bytes", len(data)).Msg("PeerReportNotSent")
+			return
+		}
+		metrics.GetOrCreateCounter("router_peer_reports_cut_total").Inc()
+		report = report.Shorter()
 	}
+}
+
+// HandOff gives copies of counts to some of the peers, the same ones while these are alive.
+func (p *peers) HandOff(list []metering.Handoff) {
+	to := p.addresses()
+	key := string(p.self.Incarnation)
+	slices.SortFunc(to, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(key+a), xxhash.Sum64String(key+b)) })
+	to = to[:min(len(to), handoffCopies)]
+	for _, x := range list {
+		data, err := cbor.Marshal(message{Handoff: &x})
+		if err != nil || len(data) > maxDatagram {
+			p.logger.Error().Int64("Window", int64(x.Window)).Int("Bytes", len(data)).Err(err).Msg("UsageNotHandedOff")
+			continue
+		}
+		p.transmit(data, to)
+	}
+}
+
+func (p *peers) transmit(data []byte, to []string) {
 	for _, address := range to {
 		at, err := netip.ParseAddrPort(address)
 		if err != nil {
+			p.logger.Warn().Str("Address", address).Err(err).Msg("PeerAddressRejected")
 			continue
 		}
 		if _, err := p.conn.WriteToUDPAddrPort(data, at); err != nil {
--- a/router/serve.go
+++ b/router/serve.go
@@ -50,6 +50,7 @@
 	agreed    *truetime.Clock
 	counter   *metering.Counter
 	pool      *link.Pool[roster.Key]
+	handoffs  *metering.Handoffs
 	reports   *peerload.Reporter
 	board     *peerload.Board
 	relay     *relay.Relay
@@ -78,6 +79,7 @@
 	}
 	n.store = platform.NewStore(s.StoreAddress, n.agreed.Observe)
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreed.Now)
+	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
 	n.reports = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, n.directory)
 	n.board = peerload.NewBoard(s.Instance, n.directory)
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
@@ -93,13 +95,16 @@
 	n := newNode(s, logger)
 	// SIGHUP is taken until the process ends; by default it would end it.
 	signal.Notify(n.hup, syscall.SIGHUP)
+	var err error
+	if n.peers, err = newPeers(n.self, s.PeerAddress, n.reports, n.board, n.handoffs, n.logger); err != nil {
+		return err
+	}
+	defer n.peers.close()
 	work, stopWork := context.WithCancel(process.Hard(ctx))
 	var last sync.WaitGroup
 	defer last.Wait()
 	defer stopWork()
-	if err := n.start(work, &last); err != nil {
-		return err
-	}
+	n.start(work, &last)
 	server, err := n.listen(o)
 	if err != nil {
 		return err
@@ -114,12 +119,8 @@
 }
 
 // start begins what runs beside the callers' requests. What writes to the store once more at the end is added to last.
-func (n *node) start(ctx context.Context, last *sync.WaitGroup) error {
+func (n *node) start(ctx context.Context, last *sync.WaitGroup) {
 	s := n.settings
-	var err error
-	if n.peers, err = newPeers(ctx, s.PeerAddress, n.reports, n.board, n.logger); err != nil {
-		return err
-	}
 	go followConfiguration(n.store, n.relay, n.logger).run(ctx)
 	go followReplicas(n.store, n.directory, n.logger).run(ctx)
 	x := newDuties(dutyParts{
@@ -129,8 +130,11 @@
 	register := membership.NewRegister(n.store, s.Instance, s.Domain, s.PeerAddress, n.agreed.Now)
 	last.Go(func() { x.run(ctx) })
 	last.Go(func() { keepMembers(ctx, register, n.peers, n.logger) })
-	last.Go(func() { writeUsage(ctx, n.store, n.agreed, n.counter, n.self, n.instances, n.logger) })
-	return nil
+	u := &usageWriter{
+		store: n.store, clock: n.agreed, counter: n.counter, instances: n.instances, logger: n.logger,
+		writer: metering.NewWriter(n.store, n.counter, n.handoffs, n.peers, n.self.Instance, n.self.Incarnation),
+	}
+	last.Go(func() { u.run(ctx) })
 }
 
 // instances counts the instances alive, this one included.
--- a/router/usage.go
+++ b/router/usage.go
@@ -7,7 +7,6 @@
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/truetime"
-	"cowslipshunt.example/shared/lease"
 	"github.com/phuslu/log"
 )
 
@@ -22,35 +21,61 @@
 	forgetAfter = 30 * time.Second
 )
 
-// writeUsage writes the counts of this incarnation until ctx ends and once more then, and agrees on the time first.
-func writeUsage(ctx context.Context, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, self lease.Identity, instances func() int, logger *log.Logger) {
+// usageWriter keeps the store's counts of this incarnation up to date.
+type usageWriter struct {
+	store   *platform.Store
+	clock   *truetime.Clock
+	counter *metering.Counter
+	writer  *metering.Writer
+	// instances counts the instances alive.
+	instances func() int
+	logger    *log.Logger
+}
+
+// run writes until ctx ends and once more then, and agrees on the time first.
+func (u *usageWriter) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			lastCtx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-			defer cancel()
-			flushUsage(lastCtx, store, clock, counter, self, logger)
+			u.close()
 			return
 		case <-timer.C:
 		}
-		flushUsage(ctx, store, clock, counter, self, logger)
-		timer.Reset(min(max(writeEvery, time.Duration(instances())*writePerInstance), writeAtMost))
+		u.step(ctx)
+		timer.Reset(min(max(writeEvery, time.Duration(u.instances())*writePerInstance), writeAtMost))
 	}
 }
 
-func flushUsage(ctx context.Context, store *platform.Store, clock *truetime.Clock, counter *metering.Counter, self lease.Identity, logger *log.Logger) {
-	if !clock.Agreed() {
-		if err := clock.Agree(ctx, store); err != nil {
-			logger.Warn().Err(err).Msg("TimeNotAgreed")
+func (u *usageWriter) step(ctx context.Context) {
+	if !u.clock.Agreed() {
+		if err := u.clock.Agree(ctx, u.store); err != nil {
+			u.logger.Warn().Err(err).Msg("TimeNotAgreed")
 			return
 		}
-		logger.Info().Time("Now", clock.Now()).Msg("TimeAgreed")
+		u.logger.Info().Time("Now", u.clock.Now()).Msg("TimeAgreed")
+	}
+	written, err := u.writer.Step(ctx, u.clock.Now())
+	for _, x := range written {
+		u.logger.Info().Str("Owner", string(x.Instance)).Int64("Window", int64(x.Window)).Int64("Made", x.Made).Bool("Final", x.Final).
+			Msg("UsageWrittenForPeer")
+	}
+	if err != nil {
+		u.logger.Warn().Err(err).Msg("UsageNotWritten")
+		return
 	}
-	if err := counter.Write(ctx, store, self.Instance, self.Incarnation); err != nil {
-		logger.Warn().Err(err).Msg("UsageNotWritten")
+	u.counter.Forget(u.clock.Now().Add(-forgetAfter))
+}
+
+// close writes for the last time. Counts of an instance that never agreed on the time belong to no window.
+func (u *usageWriter) close() {
+	if !u.clock.Agreed() {
 		return
 	}
-	counter.Forget(clock.Now().Add(-forgetAfter))
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	if err := u.writer.Close(ctx, u.clock.Now()); err != nil {
+		u.logger.Warn().Err(err).Msg("UsageHandedOff")
+	}
 }
--- a/serving/metering/counter.go
+++ b/serving/metering/counter.go
@@ -32,11 +32,20 @@
 	dirty   map[Window]bool
 	// revisions are those of the rows in the store, 0 for none.
 	revisions map[Window]wire.Revision
+	// handedOff are the windows of which peers have a copy.
+	handedOff map[Window]bool
 }
 
 // NewCounter returns a counter for windows of a length; now returns true time.
 func NewCounter(length time.Duration, now func() time.Time) *Counter {
-	return &Counter{length: length, now: now, windows: map[Window]Counts{}, dirty: map[Window]bool{}, revisions: map[Window]wire.Revision{}}
+	return &Counter{
+		length:    length,
+		now:       now,
+		windows:   map[Window]Counts{},
+		dirty:     map[Window]bool{},
+		revisions: map[Window]wire.Revision{},
+		handedOff: map[Window]bool{},
+	}
 }
 
 // At returns the window of a moment.
--- /dev/null
+++ b/serving/metering/handoff_test.go
@@ -0,0 +1,138 @@
+package metering_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/shared/tabletest"
+	"pgregory.net/rapid"
+)
+
+// TestInstancesThatStopWhileTheStoreIsAwayLoseNoCounts stops instances in turn, as a rolling restart does, while the store takes no
+// call. What they counted is reported in full once the store is back in time.
+func TestInstancesThatStopWhileTheStoreIsAwayLoseNoCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newUsageModel(t)
+		m.calm = true
+		serve := func(seconds int) {
+			for range seconds {
+				for _, i := range m.instances {
+					m.began(i)
+				}
+				m.run(time.Second)
+			}
+		}
+		serve(2*int(length/time.Second) + rapid.IntRange(0, 4).Draw(t, "before"))
+		m.down = true
+		stopped := rapid.Permutation([]int{0, 1, 2}).Draw(t, "order")[:rapid.IntRange(1, 3).Draw(t, "stopped")]
+		for _, n := range stopped {
+			serve(1)
+			m.stop(n)
+		}
+		m.down = false
+		serve(1)
+		m.run(2*length + 2*settle)
+		for w, n := range m.truth {
+			if got := m.platform.reports[w]["w"]; got != n {
+				t.Fatalf("window %d was reported with %d requests of %d", w, got, n)
+			}
+		}
+		if len(m.late) > 0 {
+			t.Errorf("counts %v were found late", m.late)
+		}
+	})
+}
+
+// handoffs are what one instance keeps, and the rows that it has written.
+type handoffs struct {
+	t     *testing.T
+	table *tabletest.Table
+	held  *metering.Handoffs
+}
+
+func newHandoffs(t *testing.T) *handoffs {
+	return &handoffs{t: t, table: tabletest.New(), held: metering.NewHandoffs("2")}
+}
+
+func (h *handoffs) write(at time.Time) []metering.Handoff {
+	h.t.Helper()
+	written, err := h.held.Write(h.t.Context(), h.table, at)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return written
+}
+
+func handoff(made time.Time, n int, final bool) metering.Handoff {
+	return metering.Handoff{Instance: "i", Incarnation: "1", Window: 7, Counts: metering.Counts{"w": n}, Made: made.UnixMilli(), Final: final}
+}
+
+func TestHandoffOfAnOwnerThatRunsIsNotWritten(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	h := newHandoffs(t)
+	for range 10 {
+		h.held.Take(handoff(now, 3, false), now)
+		now = now.Add(time.Second)
+		if written := h.write(now); len(written) > 0 {
+			t.Fatalf("wrote %v", written)
+		}
+	}
+	now = now.Add(6 * time.Second)
+	if written := h.write(now); len(written) != 1 || written[0].Counts["w"] != 3 {
+		t.Errorf("wrote %v of a silent owner", written)
+	}
+	if written := h.write(now); len(written) > 0 {
+		t.Errorf("wrote %v twice", written)
+	}
+}
+
+func TestWithdrawnHandoffIsNotWritten(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	h := newHandoffs(t)
+	h.held.Take(handoff(now, 3, false), now)
+	withdrawn := handoff(now.Add(time.Second), 0, false)
+	withdrawn.Counts = nil
+	h.held.Take(withdrawn, now)
+	if written := h.write(now.Add(10 * time.Second)); len(written) > 0 {
+		t.Errorf("wrote %v", written)
+	}
+}
+
+func TestHandoffNeverTakesCountsBack(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	tests := []struct {
+		name            string
+		owner, handoff  int
+		revisionIsKnown bool
+		want            int
+	}{
+		{"the owner wrote more after a copy was lost", 5, 3, false, 5},
+		{"the owner's last write was lost", 3, 5, true, 5},
+		{"the owner's write took effect without an answer", 3, 5, false, 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHandoffs(t)
+			c := metering.NewCounter(length, func() time.Time { return now })
+			for range test.owner {
+				c.Began("w")
+			}
+			if err := c.Write(t.Context(), h.table, "i", "1"); err != nil {
+				t.Fatal(err)
+			}
+			x := handoff(now, test.handoff, true)
+			x.Window = c.At(now)
+			if test.revisionIsKnown {
+				x.Revision = h.table.Rows(metering.CountTable, "")[0].Revision
+			}
+			h.held.Take(x, now)
+			h.write(now)
+			want := fmt.Sprintf(`{"Counts":{"w":%d},"Written":"2001-09-09T01:46:40Z"}`, test.want)
+			if rows := h.table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != want {
+				t.Errorf("got %s, want %s", rows[0].Value, want)
+			}
+		})
+	}
+}
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"strings"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -40,17 +41,28 @@
 	Window Window
 	Counts Counts
 	Epoch  wire.Epoch
-	// Writers are the instances that wrote counts of the window, with the agreed time of each one's last write.
-	Writers  map[wire.InstanceName]time.Time
+	// Sources are the rows that the counts are the sum of, by their key behind the window, with the agreed time of each one's
+	// last write.
+	Sources  map[string]time.Time
 	Reported bool
 }
 
+// writers returns the instances that wrote counts of the window and when each wrote last.
+func (w *windowRow) writers() map[wire.InstanceName]time.Time {
+	last := map[wire.InstanceName]time.Time{}
+	for source, written := range w.Sources {
+		instance, _, _ := strings.Cut(source, "/")
+		if name := wire.InstanceName(instance); written.After(last[name]) {
+			last[name] = written
+		}
+	}
+	return last
+}
+
 // frozen is a window's row and its revision.
 type frozen struct {
 	row      windowRow
 	revision wire.Revision
-	// sources are the rows of counts that it sums.
-	sources []string
 }
 
 // Reporter freezes and reports windows while the lease is held. It is for one goroutine.
@@ -60,7 +72,8 @@
 	platform Platform
 	counter  *Counter
 	bounds   Bounds
-	// late is told of counts that came after their window was frozen. They are not reported: a window has one set of counts.
+	// late is told of counts that came after their window was frozen, at least once. They are not reported: a window has one set of
+	// counts.
 	late func(w Window, counts Counts)
 
 	epoch  wire.Epoch
@@ -132,7 +145,7 @@
 			return fmt.Errorf("decode window %s: %w", row.Key, err)
 		}
 		r.next = w.Window + 1
-		r.writers = w.Writers
+		r.writers = w.writers()
 		if w.Reported {
 			r.kept = append(r.kept, w.Window)
 			continue
@@ -162,7 +175,7 @@
 		if err := r.freeze(ctx, sum); err != nil {
 			return err
 		}
-		r.writers = sum.writers
+		r.writers = sum.row.writers()
 		r.next++
 	}
 	return nil
@@ -181,16 +194,19 @@
 
 // freeze writes a window's counts once. From then on the window has these counts, whoever reports it.
 func (r *Reporter) freeze(ctx context.Context, s *windowSum) error {
-	f := frozen{row: windowRow{Window: s.window, Counts: s.counts, Epoch: r.epoch, Writers: s.writers}, sources: s.sources}
-	answer, err := r.put(ctx, f.row, 0, nil)
+	f := frozen{row: s.row}
+	f.row.Epoch = r.epoch
+	var remove []wire.Write
+	for key, late := range s.late {
+		r.late(late.window, late.counts)
+		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
+	}
+	answer, err := r.put(ctx, f.row, 0, remove[:min(len(remove), maxRemoved)])
 	if err != nil {
 		return err
 	}
 	if !answer.Committed {
-		return fmt.Errorf("window %d is frozen already", s.window)
-	}
-	for w, counts := range s.late {
-		r.late(w, counts)
+		return fmt.Errorf("window %d is frozen already", s.row.Window)
 	}
 	f.revision = answer.Revision
 	r.open = append(r.open, f)
@@ -238,9 +254,10 @@
 func (r *Reporter) markReported(ctx context.Context, f frozen) error {
 	f.row.Reported = true
 	var remove []wire.Write
-	for _, key := range f.sources[:min(len(f.sources), maxRemoved)] {
-		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
+	for source := range f.row.Sources {
+		remove = append(remove, wire.Write{Table: CountTable, Key: sourceKey(f.row.Window, source), Delete: true})
 	}
+	remove = remove[:min(len(remove), maxRemoved)]
 	kept := append(r.kept, f.row.Window)
 	if len(kept) > keptWindows {
 		remove = append(remove, wire.Write{Table: WindowTable, Key: windowKey(kept[0]), Delete: true})
--- a/serving/metering/reporter_test.go
+++ b/serving/metering/reporter_test.go
@@ -58,6 +58,20 @@
 	counter  *metering.Counter
 	keeper   *lease.Keeper
 	reporter *metering.Reporter
+	handoffs *metering.Handoffs
+	writer   *metering.Writer
+	model    *usageModel
+}
+
+// HandOff delivers copies to the other instances.
+func (i *instance) HandOff(list []metering.Handoff) {
+	for _, other := range i.model.instances {
+		if other != i {
+			for _, x := range list {
+				other.handoffs.Take(x, i.model.clock.now)
+			}
+		}
+	}
 }
 
 // usageModel drives instances that count, write, report and get killed.
@@ -69,6 +83,8 @@
 	instances []*instance
 	started   int
 	calm      bool
+	// down is set while the store takes no call.
+	down bool
 	// truth is what began, late what the reporters found too late to report.
 	truth map[metering.Window]int
 	late  map[metering.Window]int
@@ -77,7 +93,7 @@
 func newUsageModel(t *rapid.T) *usageModel {
 	m := &usageModel{t: t, clock: &clock{now: time.Unix(1e9, 0)}, table: tabletest.New(), truth: map[metering.Window]int{}, late: map[metering.Window]int{}}
 	m.table.Fault = m.fault
-	m.table.QueryFails = func() bool { return !m.calm && rapid.IntRange(0, 19).Draw(t, "query") == 0 }
+	m.table.QueryFails = func() bool { return m.down || !m.calm && rapid.IntRange(0, 19).Draw(t, "query") == 0 }
 	m.platform = &platform{t: t, reports: map[metering.Window]metering.Counts{}}
 	m.platform.fails = func() bool { return !m.calm && rapid.IntRange(0, 3).Draw(t, "report") == 0 }
 	for range 3 {
@@ -87,6 +103,9 @@
 }
 
 func (m *usageModel) fault() tabletest.Fault {
+	if m.down {
+		return tabletest.Refused
+	}
 	if m.calm {
 		return tabletest.None
 	}
@@ -95,12 +114,14 @@
 
 func (m *usageModel) start(n int) *instance {
 	m.started++
-	i := &instance{instance: wire.InstanceName(fmt.Sprint("machine", n)), name: wire.IncarnationId(fmt.Sprint(m.started))}
+	i := &instance{instance: wire.InstanceName(fmt.Sprint("machine", n)), name: wire.IncarnationId(fmt.Sprint(m.started)), model: m}
 	i.counter = metering.NewCounter(length, m.clock.Now)
 	self := lease.Identity{Instance: i.instance, Incarnation: i.name}
 	i.keeper = lease.NewKeeper("duties", self, m.table, m.clock)
 	i.reporter = metering.NewReporter(m.table, i.keeper, m.platform, i.counter, metering.Bounds{Settle: settle, Gone: gone},
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }))
+	i.handoffs = metering.NewHandoffs(i.name)
+	i.writer = metering.NewWriter(m.table, i.counter, i.handoffs, i, i.instance, i.name)
 	return i
 }
 
@@ -110,7 +131,7 @@
 }
 
 func (m *usageModel) step(i *instance) {
-	_ = i.counter.Write(m.t.Context(), m.table, i.instance, i.name)
+	_, _ = i.writer.Step(m.t.Context(), m.clock.now)
 	_ = i.keeper.Step(m.t.Context())
 	_ = i.reporter.Step(m.t.Context())
 }
@@ -120,6 +141,12 @@
 	m.instances[n] = m.start(n)
 }
 
+// stop ends an incarnation in order and starts a new one in its place.
+func (m *usageModel) stop(n int) {
+	_ = m.instances[n].writer.Close(m.t.Context(), m.clock.now)
+	m.kill(n)
+}
+
 func (m *usageModel) run(d time.Duration) {
 	for range int(d / (500 * time.Millisecond)) {
 		m.clock.now = m.clock.now.Add(500 * time.Millisecond)
@@ -144,8 +171,10 @@
 			"run":  func(*rapid.T) { m.run(time.Duration(rapid.IntRange(1, 4).Draw(t, "seconds")) * time.Second) },
 			"late": func(*rapid.T) { m.table.DeliverLate() },
 			"kill": func(*rapid.T) { m.kill(pick()) },
+			"stop": func(*rapid.T) { m.stop(pick()) },
+			"down": func(*rapid.T) { m.down = !m.down },
 		})
-		m.calm = true
+		m.calm, m.down = true, false
 		m.run(30 * time.Second)
 		m.checkAllReported()
 	})
--- a/serving/metering/rows.go
+++ b/serving/metering/rows.go
@@ -39,15 +39,19 @@
 
 // countKey names the row of one incarnation's counts of a window.
 func countKey(w Window, instance wire.InstanceName, incarnation wire.IncarnationId) string {
-	return windowKey(w) + "/" + string(instance) + "/" + string(incarnation)
+	return sourceKey(w, string(instance)+"/"+string(incarnation))
 }
 
-// parseKey reads the window and the instance of a row of counts.
-func parseKey(key string) (Window, wire.InstanceName, error) {
-	number, rest, _ := strings.Cut(key, "/")
-	instance, _, _ := strings.Cut(rest, "/")
+// sourceKey names the row of a source of a window's counts.
+func sourceKey(w Window, source string) string {
+	return windowKey(w) + "/" + source
+}
+
+// parseKey reads the window and the source of a row of counts.
+func parseKey(key string) (Window, string, error) {
+	number, source, _ := strings.Cut(key, "/")
 	n, err := strconv.ParseInt(number, 10, 64)
-	return Window(n), wire.InstanceName(instance), err
+	return Window(n), source, err
 }
 
 // Write puts one incarnation's counts of the windows that have risen into the store. Each write names the revision of the row
--- a/serving/metering/sum.go
+++ b/serving/metering/sum.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -11,35 +12,34 @@
 
 // windowSum is what the store holds of a window's counts.
 type windowSum struct {
-	window  Window
-	counts  Counts
-	sources []string
-	// writers are the instances that wrote counts of the window and when each wrote last, after those that wrote of the next
-	// one: they have written all of this one.
-	writers map[wire.InstanceName]time.Time
-	after   map[wire.InstanceName]bool
-	late    map[Window]Counts
+	// row is the window as it would be frozen.
+	row windowRow
+	// after are the instances that wrote counts of the next window: they have written all of this one.
+	after map[wire.InstanceName]bool
+	// late are the counts that came after their window was frozen, by the key of their row.
+	late map[string]lateCounts
+}
+
+type lateCounts struct {
+	window Window
+	counts Counts
 }
 
 // complete tells whether all that wrote counts of this window or the one before have gone on to the next, but for those that
 // wrote nothing since gone. Nobody is known to have if the writers of the one before are not.
 func (s *windowSum) complete(before map[wire.InstanceName]time.Time, gone time.Time) bool {
-	for _, writers := range []map[wire.InstanceName]time.Time{before, s.writers} {
-		for instance := range writers {
-			if !s.after[instance] && s.lastWrite(instance, before).After(gone) {
-				return false
-			}
+	last := s.row.writers()
+	for instance, at := range before {
+		if _, wrote := last[instance]; !wrote {
+			last[instance] = at
 		}
 	}
-	return before != nil
-}
-
-// lastWrite returns when an instance wrote counts of this window or the one before last.
-func (s *windowSum) lastWrite(instance wire.InstanceName, before map[wire.InstanceName]time.Time) time.Time {
-	if at, wrote := s.writers[instance]; wrote {
-		return at
+	for instance, at := range last {
+		if !s.after[instance] && at.After(gone) {
+			return false
+		}
 	}
-	return before[instance]
+	return before != nil
 }
 
 // sum reads the counts of a window, and those that came too late for an earlier one.
@@ -49,36 +49,32 @@
 		return nil, err
 	}
 	s := &windowSum{
-		window:  w,
-		counts:  Counts{},
-		writers: map[wire.InstanceName]time.Time{},
-		after:   map[wire.InstanceName]bool{},
-		late:    map[Window]Counts{},
+		row:   windowRow{Window: w, Counts: Counts{}, Sources: map[string]time.Time{}},
+		after: map[wire.InstanceName]bool{},
+		late:  map[string]lateCounts{},
 	}
 	for _, row := range rows {
-		of, instance, written, err := decodeCounts(row)
+		of, source, written, err := decodeCounts(row)
 		if err != nil {
 			return nil, err
 		}
-		if of > w {
-			s.after[instance] = true
-			continue
-		}
-		s.sources = append(s.sources, row.Key)
-		if of < w {
-			s.late[of] = written.Counts
-			continue
-		}
-		if written.Written.After(s.writers[instance]) {
-			s.writers[instance] = written.Written
+		switch {
+		case of > w:
+			instance, _, _ := strings.Cut(source, "/")
+			s.after[wire.InstanceName(instance)] = true
+		case of < w:
+			s.late[row.Key] = lateCounts{window: of, counts: written.Counts}
+		default:
+			s.row.Counts.Add(written.Counts)
+			s.row.Sources[source] = written.Written
 		}
-		s.counts.Add(written.Counts)
 	}
 	return s, nil
 }
 
-func decodeCounts(row wire.Row) (Window, wire.InstanceName, countRow, error) {
-	w, instance, err := parseKey(row.Key)
+// decodeCounts reads a row of counts and returns its window and its source.
+func decodeCounts(row wire.Row) (Window, string, countRow, error) {
+	w, source, err := parseKey(row.Key)
 	if err != nil {
 		return 0, "", countRow{}, fmt.Errorf("decode the key of counts %s: %w", row.Key, err)
 	}
@@ -86,5 +82,5 @@
 	if err := json.Unmarshal(row.Value, &written); err != nil {
 		return 0, "", countRow{}, fmt.Errorf("decode counts %s: %w", row.Key, err)
 	}
-	return w, instance, written, nil
+	return w, source, written, nil
 }
