Add up peers' loads as reports come

Cause: each report made an instance add up the loads of all peers for all endpoints; at 80 instances that send 400 reports a second in all to each, it is most of an instance's processor time. Sums are now changed by each report and given to the endpoints that it names. A fuzzed test holds them against an oracle that adds everything up.

--- a/serving/peerload/board.go
+++ b/serving/peerload/board.go
@@ -1,6 +1,7 @@
 package peerload
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -24,6 +25,14 @@
 
 	mu    sync.Mutex
 	peers map[wire.InstanceName]*peer
+	// sums are what the peers have under way at each endpoint, and how many of them leave it alone. They are kept up to date
+	// with each report: with many instances and endpoints, adding everything up each time would cost most of an instance's
+	// processor time.
+	sums map[wire.EndpointId]*endpointSum
+}
+
+type endpointSum struct {
+	prefill, inFlight, paused int
 }
 
 // peer is one instance's newest report and when it came.
@@ -34,7 +43,7 @@
 
 // NewBoard returns an empty board of an instance.
 func NewBoard(self wire.InstanceName, d *roster.Directory) *Board {
-	return &Board{self: self, directory: d, peers: map[wire.InstanceName]*peer{}}
+	return &Board{self: self, directory: d, peers: map[wire.InstanceName]*peer{}, sums: map[wire.EndpointId]*endpointSum{}}
 }
 
 // Take takes a report in unless it is older than the one known.
@@ -60,15 +69,34 @@
 		}
 	}
 	r.Uses, r.Changes = nil, nil
+	changed := map[wire.EndpointId]bool{}
+	if known {
+		b.add(p.report, -1, changed)
+	}
+	b.add(r, 1, changed)
 	b.peers[r.From] = &peer{report: r, at: now}
-	b.sum(all, now)
+	for id := range changed {
+		if e, listed := all[id]; listed {
+			b.tell(e)
+		}
+	}
 }
 
 // Expire drops the loads of peers that have fallen silent.
 func (b *Board) Expire(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sum(b.directory.View().All(), now)
+	for name, p := range b.peers {
+		if now.Sub(p.at) > silence {
+			b.add(p.report, -1, nil)
+			delete(b.peers, name)
+		}
+	}
+	// Endpoints that were listed after the reports of them learn of their loads here.
+	for _, e := range b.directory.View().All() {
+		b.tell(e)
+	}
+	maps.DeleteFunc(b.sums, func(_ wire.EndpointId, s *endpointSum) bool { return *s == endpointSum{} })
 }
 
 // HolderHeard tells whether a peer that believes to hold the lease of the duties reported within a time.
@@ -94,27 +122,37 @@
 	return list
 }
 
-// sum tells each endpoint what the peers have under way there.
-func (b *Board) sum(all map[wire.EndpointId]*roster.Endpoint, now time.Time) {
-	sums := map[wire.EndpointId]Load{}
-	paused := map[wire.EndpointId]int{}
-	for name, p := range b.peers {
-		if now.Sub(p.at) > silence {
-			delete(b.peers, name)
-			continue
-		}
-		for _, id := range p.report.Paused {
-			paused[id]++
-		}
-		for _, l := range p.report.Loads {
-			s := sums[l.Endpoint]
-			s.Prefill += max(l.Prefill, 0)
-			s.InFlight += max(l.InFlight, 0)
-			sums[l.Endpoint] = s
-		}
+// add adds a report to the sums, or takes it off with sign -1, and notes the endpoints in changed unless that is nil.
+func (b *Board) add(r Report, sign int, changed map[wire.EndpointId]bool) {
+	for _, l := range r.Loads {
+		s := b.sumOf(l.Endpoint, changed)
+		s.prefill += sign * max(l.Prefill, 0)
+		s.inFlight += sign * max(l.InFlight, 0)
+	}
+	for _, id := range r.Paused {
+		b.sumOf(id, changed).paused += sign
 	}
-	for id, e := range all {
-		e.SetSuspected(paused[id] >= accusers)
-		e.SetPeers(sums[id].Prefill, sums[id].InFlight)
+}
+
+func (b *Board) sumOf(id wire.EndpointId, changed map[wire.EndpointId]bool) *endpointSum {
+	s, known := b.sums[id]
+	if !known {
+		s = &endpointSum{}
+		b.sums[id] = s
+	}
+	if changed != nil {
+		changed[id] = true
+	}
+	return s
+}
+
+// tell gives an endpoint what the peers have under way there.
+func (b *Board) tell(e *roster.Endpoint) {
+	id := e.Entry().ID
+	s, known := b.sums[id]
+	if !known {
+		s = &endpointSum{}
 	}
+	e.SetSuspected(s.paused >= accusers)
+	e.SetPeers(s.prefill, s.inFlight)
 }
--- /dev/null
+++ b/serving/peerload/board_test.go
@@ -0,0 +1,94 @@
+package peerload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/roster"
+	"cowslipshunt.example/wire"
+	"pgregory.net/rapid"
+)
+
+// TestSumsOfReportsAreThoseOfTheNewest drives a board with reports of instances that start again and fall silent, and endpoints that
+// are listed late. The oracle adds up the newest report of each instance.
+func TestSumsOfReportsAreThoseOfTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := roster.NewDirectory()
+		b := peerload.NewBoard("self", d)
+		at := now
+		type known struct {
+			report peerload.Report
+			at     time.Time
+		}
+		newest := map[wire.InstanceName]known{}
+		endpoint := func() wire.EndpointId {
+			return wire.EndpointId(fmt.Sprint("e", rapid.IntRange(0, 4).Draw(t, "endpoint")))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"list": func(*rapid.T) { d.Put(roster.Entry{Key: roster.Key{ID: endpoint(), Born: 1}, Service: "s"}) },
+			"wait": func(*rapid.T) {
+				at = at.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "millis")) * time.Millisecond)
+			},
+			"report": func(*rapid.T) {
+				r := peerload.Report{
+					From:        wire.InstanceName(fmt.Sprint("i", rapid.IntRange(0, 3).Draw(t, "instance"))),
+					Incarnation: wire.IncarnationId(fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "incarnation"))),
+					Sequence:    uint64(rapid.IntRange(1, 20).Draw(t, "sequence")),
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "loads") {
+					l := peerload.Load{Endpoint: endpoint(), Prefill: rapid.IntRange(-5, 1000).Draw(t, "prefill"), InFlight: rapid.IntRange(0, 9).Draw(t, "in flight")}
+					r.Loads = append(r.Loads, l)
+				}
+				for range rapid.IntRange(0, 2).Draw(t, "paused") {
+					r.Paused = append(r.Paused, endpoint())
+				}
+				b.Take(r, at)
+				if k, ok := newest[r.From]; !ok || k.report.Incarnation != r.Incarnation || r.Sequence > k.report.Sequence {
+					newest[r.From] = known{r, at}
+				}
+			},
+			"": func(t *rapid.T) {
+				b.Expire(at)
+				prefill, inFlight, paused := map[wire.EndpointId]int{}, map[wire.EndpointId]int{}, map[wire.EndpointId]int{}
+				for name, k := range newest {
+					if at.Sub(k.at) > 2500*time.Millisecond {
+						delete(newest, name)
+						continue
+					}
+					for _, l := range k.report.Loads {
+						prefill[l.Endpoint] += max(l.Prefill, 0)
+						inFlight[l.Endpoint] += l.InFlight
+					}
+					for _, id := range k.report.Paused {
+						paused[id]++
+					}
+				}
+				for id, e := range d.View().All() {
+					if e.PrefillLoad() != prefill[id] || e.InFlight() != inFlight[id] || e.Open(at) != (paused[id] < 2) {
+						t.Fatalf("%s: prefill %d, in flight %d, open %v; want %d, %d, %d paused", id, e.PrefillLoad(), e.InFlight(), e.Open(at), prefill[id], inFlight[id], paused[id])
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestShortenedReportKeepsTheHeaviestLoads is for instances whose report outgrows a datagram, as with work under way at most of a
+// hundred engines.
+func TestShortenedReportKeepsTheHeaviestLoads(t *testing.T) {
+	r := peerload.Report{Uses: make([]peerload.Use, 3)}
+	for i := range 8 {
+		r.Loads = append(r.Loads, peerload.Load{Endpoint: wire.EndpointId(fmt.Sprint(i)), Prefill: i})
+	}
+	for len(r.Uses) > 0 {
+		if r = r.Shorter(); len(r.Loads) != 8 {
+			t.Fatal("loads went before uses")
+		}
+	}
+	r = r.Shorter()
+	if len(r.Loads) != 4 || r.Loads[0].Prefill != 7 || r.Loads[3].Prefill != 4 {
+		t.Errorf("kept %+v", r.Loads)
+	}
+}
