Choose endpoints without sorting, and write views and log lines in batches

Cause: on the grown sites an instance spent its time on what grows with the number of endpoints: a hash over the id and a sort for each choice, a new view for each changed row, a lock for each endpoint's failure domain, a write for each log line. An endpoint keeps the hash of its id, a choice takes the first in rendezvous order and the cheapest in one pass, rows of one answer change the view once, and waiting log lines are written together. Ruled out: fewer reports among peers (choices would go by older loads).

--- a/router/follower.go
+++ b/router/follower.go
@@ -134,11 +134,13 @@
 func followReplicas(store *platform.Store, d *roster.Directory, logger *log.Logger) *follower {
 	take := func(rows []platform.Row, whole bool) {
 		listed := map[wire.EndpointId]bool{}
-		for _, row := range rows {
-			if takeReplica(row, d, logger) {
-				listed[wire.EndpointId(row.Key)] = true
+		d.Batch(func() {
+			for _, row := range rows {
+				if takeReplica(row, d, logger) {
+					listed[wire.EndpointId(row.Key)] = true
+				}
 			}
-		}
+		})
 		if !whole {
 			return
 		}
--- a/router/logger.go
+++ b/router/logger.go
@@ -15,6 +15,9 @@
 // logQueue is how many lines wait for the output; what comes beyond is dropped and counted.
 const logQueue = 4096
 
+// logWrite is how many bytes of waiting lines are written at a time: the capacity of a pipe.
+const logWrite = 64 << 10
+
 // droppedEvery is how often the log says how many lines were dropped, while some are.
 const droppedEvery = time.Second
 
@@ -35,10 +38,16 @@
 	return len(line), nil
 }
 
-// write writes what is queued to w. There is nowhere left to report an error of the log's own output.
+// write writes what is queued to w, as many lines at a time as wait. There is nowhere left to report an error of the log's own
+// output.
 func (l *lines) write(w io.Writer) {
+	var buffer []byte
 	for line := range l.queue {
-		_, _ = w.Write(line)
+		buffer = append(buffer[:0], line...)
+		for len(buffer) < logWrite && len(l.queue) > 0 {
+			buffer = append(buffer, <-l.queue...)
+		}
+		_, _ = w.Write(buffer)
 	}
 }
 
--- a/serving/placement/choose.go
+++ b/serving/placement/choose.go
@@ -40,7 +40,7 @@
 // LeastBusy returns the endpoint with the fewest requests, with those of the preferred failure domain first. Ties go by the
 // request's draw. It returns nil if nothing suits.
 func LeastBusy(suited []*roster.Endpoint, need Need, draw uint64) *roster.Endpoint {
-	return least(suited, draw, func(e *roster.Endpoint, _ int) float64 {
+	return least(suited, draw, func(e *roster.Endpoint, _ bool) float64 {
 		cost := float64(e.InFlight())
 		if e.Entry().Domain != need.Near {
 			cost += farRequests
@@ -49,39 +49,33 @@
 	})
 }
 
-// least returns the endpoint with the least cost, which may go by the endpoint's place in the rendezvous order of a key: 0
-// is the first. Ties go by that order.
-func least(suited []*roster.Endpoint, key uint64, cost func(e *roster.Endpoint, place int) float64) *roster.Endpoint {
-	type ranked struct {
-		e      *roster.Endpoint
-		weight uint64
-	}
-	order := make([]ranked, 0, len(suited))
-	for _, e := range suited {
-		order = append(order, ranked{e: e, weight: rendezvous(key, e.Entry().ID)})
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		if a.weight > b.weight {
-			return -1
+// least returns the endpoint with the least cost, which may go by whether the endpoint is the first in the rendezvous order of a
+// key. Ties go by that order.
+func least(suited []*roster.Endpoint, key uint64, cost func(e *roster.Endpoint, first bool) float64) *roster.Endpoint {
+	first, firstWeight := -1, uint64(0)
+	for i, e := range suited {
+		if w := rendezvous(key, e); first < 0 || w > firstWeight {
+			first, firstWeight = i, w
 		}
-		return 1
-	})
+	}
 	var best *roster.Endpoint
-	bestCost := 0.0
-	for place, r := range order {
-		if c := cost(r.e, place); best == nil || c < bestCost {
-			best, bestCost = r.e, c
+	bestCost, bestWeight := 0.0, uint64(0)
+	for i, e := range suited {
+		c := cost(e, i == first)
+		if best != nil && c > bestCost {
+			continue
+		}
+		if w := rendezvous(key, e); best == nil || c < bestCost || w > bestWeight {
+			best, bestCost, bestWeight = e, c, w
 		}
 	}
 	return best
 }
 
 // rendezvous weighs an endpoint for a key; the highest weight is first.
-func rendezvous(key uint64, id wire.EndpointId) uint64 {
-	digest := xxhash.New()
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], key)
-	_, _ = digest.Write(b[:])
-	_, _ = digest.WriteString(string(id))
-	return digest.Sum64()
+func rendezvous(key uint64, e *roster.Endpoint) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], key)
+	binary.LittleEndian.PutUint64(b[8:], e.Hash())
+	return xxhash.Sum64(b[:])
 }
--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -47,9 +47,9 @@
 }
 
 func quickest(suited []*roster.Endpoint, p *Prompt, near wire.DomainName, rate float64, now time.Time) *roster.Endpoint {
-	return least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, place int) float64 {
+	return least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, first bool) float64 {
 		cost := readMillis(e, p, rate, now)
-		if place > 0 {
+		if !first {
 			cost += affinity
 		}
 		if e.Entry().Domain != near {
@@ -62,7 +62,7 @@
 // Taker returns the engine that generates from a KV cache which a prefill engine of a failure domain holds: the least busy one
 // there, or elsewhere if it has none.
 func Taker(suited []*roster.Endpoint, p *Prompt, domain wire.DomainName) *roster.Endpoint {
-	return least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, _ int) float64 {
+	return least(suited, uint64(p.Anchor()), func(e *roster.Endpoint, _ bool) float64 {
 		cost := float64(e.PrefillLoad())/decodeRate + stepTime*float64(e.InFlight())
 		if e.Entry().Domain != domain {
 			cost += farTime
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -91,9 +91,13 @@
 func (j *job) endpoints(need placement.Need) []*roster.Endpoint {
 	now := j.relay.clock.Now()
 	suited := placement.Suited(j.relay.directory.View().Service(j.service.Name), need, now)
+	cut := j.relay.reach.Cut(now)
+	if cut == nil {
+		return suited
+	}
 	reached := make([]*roster.Endpoint, 0, len(suited))
 	for _, e := range suited {
-		if d := e.Entry().Domain; d == j.relay.domain || !j.relay.reach.Cut(d, now) {
+		if d := e.Entry().Domain; d == j.relay.domain || !cut[d] {
 			reached = append(reached, e)
 		}
 	}
--- a/serving/roster/directory.go
+++ b/serving/roster/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cowslipshunt.example/wire"
+	"github.com/cespare/xxhash/v2"
 )
 
 // LapseGrace is how long after the store's return an entry that lapsed meanwhile may still come back: live endpoints
@@ -41,6 +42,8 @@
 	// away is set while the store does not answer; settled is when entries that lapsed are gone.
 	away    bool
 	settled time.Time
+	// batched is set while changes are collected, changed once there is one.
+	batched, changed bool
 }
 
 // NewDirectory returns an empty directory.
@@ -86,7 +89,7 @@
 		known = false
 	}
 	if !known {
-		e = &Endpoint{}
+		e = &Endpoint{hash: xxhash.Sum64String(string(entry.ID))}
 		d.entries[entry.ID] = e
 	}
 	e.entry.Store(&entry)
@@ -153,7 +156,29 @@
 	delete(d.lapsed, id)
 }
 
+// Batch runs change, whose Puts and Removes show in the view together at its end: the view is made anew once for all of them. It is
+// for one goroutine at a time.
+func (d *Directory) Batch(change func()) {
+	d.mu.Lock()
+	d.batched = true
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.batched = false
+		if d.changed {
+			d.changed = false
+			d.publish()
+		}
+	}()
+	change()
+}
+
 func (d *Directory) publish() {
+	if d.batched {
+		d.changed = true
+		return
+	}
 	v := &View{services: map[wire.ServiceName][]*Endpoint{}, all: make(map[wire.EndpointId]*Endpoint, len(d.entries))}
 	for id, e := range d.entries {
 		v.all[id] = e
--- a/serving/roster/directory_test.go
+++ b/serving/roster/directory_test.go
@@ -200,3 +200,33 @@
 	fmt.Println(len(d.View().Service("s")))
 	// Output: 1
 }
+
+func TestBatchShowsItsChangesTogether(t *testing.T) {
+	d := roster.NewDirectory()
+	put := func(id wire.EndpointId) {
+		d.Put(roster.Entry{Key: roster.Key{ID: id, Born: 1}, Service: "s"})
+	}
+	put("a")
+	a := d.View().All()["a"]
+	d.Batch(func() {
+		put("b")
+		put("c")
+		if !d.Remove("a", start) {
+			t.Error("an endpoint that left did not go at once")
+		}
+		if a.Open(start) {
+			t.Error("an endpoint that left takes work until the end of the batch")
+		}
+		if len(d.View().Service("s")) != 1 {
+			t.Error("the view changed within the batch")
+		}
+	})
+	if all := d.View().All(); len(all) != 2 || all["a"] != nil {
+		t.Errorf("after the batch the view lists %d endpoints", len(all))
+	}
+	before := d.View()
+	d.Batch(func() {})
+	if d.View() != before {
+		t.Error("a batch without changes made a new view")
+	}
+}
--- a/serving/roster/reach.go
+++ b/serving/roster/reach.go
@@ -64,10 +64,19 @@
 	delete(r.domains, entry.Domain)
 }
 
-// Cut tells whether a failure domain counts as cut off.
-func (r *Reach) Cut(d wire.DomainName, now time.Time) bool {
+// Cut returns the failure domains that count as cut off, nil if none does.
+func (r *Reach) Cut(now time.Time) map[wire.DomainName]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known, ok := r.domains[d]
-	return ok && now.Before(known.until)
+	var cut map[wire.DomainName]bool
+	for name, d := range r.domains {
+		if !now.Before(d.until) {
+			continue
+		}
+		if cut == nil {
+			cut = map[wire.DomainName]bool{}
+		}
+		cut[name] = true
+	}
+	return cut
 }
--- a/serving/roster/replica.go
+++ b/serving/roster/replica.go
@@ -47,6 +47,8 @@
 
 // Endpoint is one incarnation of an endpoint with this instance's own load there. It outlives the views that list it.
 type Endpoint struct {
+	// hash is that of the endpoint's id.
+	hash    uint64
 	entry   atomic.Pointer[Entry]
 	removed atomic.Bool
 	// away is set while an order takes the endpoint away.
@@ -68,6 +70,11 @@
 	until time.Time
 }
 
+// Hash returns a hash of the endpoint's id, the same on all instances.
+func (e *Endpoint) Hash() uint64 {
+	return e.hash
+}
+
 // Entry returns what the platform listed last.
 func (e *Endpoint) Entry() *Entry {
 	return e.entry.Load()
