--- a/serving/peerload/board_test.go
+++ b/serving/peerload/board_test.go
@@ -92,3 +92,32 @@
 		t.Errorf("kept %+v", r.Loads)
 	}
 }
+
+// TestReportCostsTheSameWithManyPeers is the pattern of a large deployment: 80 instances that report several times a second to each
+// other. A report may cost what it says, not what all peers have said.
+func TestReportCostsTheSameWithManyPeers(t *testing.T) {
+	cost := func(peers int) float64 {
+		d := roster.NewDirectory()
+		b := peerload.NewBoard("self", d)
+		for i := range 250 {
+			d.Put(roster.Entry{Key: roster.Key{ID: wire.EndpointId(fmt.Sprint("e", i)), Born: 1}, Service: "s"})
+		}
+		var r peerload.Report
+		for i := range peers {
+			r = peerload.Report{From: wire.InstanceName(fmt.Sprint("i", i)), Incarnation: "1"}
+			for l := range 5 {
+				id := wire.EndpointId(fmt.Sprint("e", (5*i+l)%250))
+				r.Loads = append(r.Loads, peerload.Load{Endpoint: id, Prefill: 1})
+			}
+			r.Sequence++
+			b.Take(r, now)
+		}
+		return testing.AllocsPerRun(100, func() {
+			r.Sequence++
+			b.Take(r, now)
+		})
+	}
+	if few, many := cost(2), cost(80); many > few {
+		t.Errorf("a report makes %v allocations with 80 peers and %v with 2", many, few)
+	}
+}
--- a/serving/roster/reach_test.go
+++ b/serving/roster/reach_test.go
@@ -48,7 +48,7 @@
 	r := roster.NewReach()
 	r.Unreached(in("b", "1"), start)
 	r.Unreached(in("b", "2"), start.Add(3*time.Second))
-	if r.Cut(start.Add(3*time.Second))["b"] {
+	if r.Cut(start.Add(3 * time.Second))["b"] {
 		t.Error("two crashes are taken for a cut")
 	}
 }
