Read changed settings without a stop

Cause: SIGHUP was only logged and a changed file waited for the next start, though the platform changes files under running processes. The file is now read anew at SIGHUP and when it has changed. Zones, duties, grace, retry ratio and slack are in force at once; what is bound to sockets, leases or windows is named in the line Reloaded as waiting for a start. Findings change nothing and are logged. Ruled out: a new node in the process for addresses (the platform restarts the process for these). Test: TestChangedSettingsAreInForceWithoutAStart, red before (no such lines).

--- a/router/cmd_serve.go
+++ b/router/cmd_serve.go
@@ -10,6 +10,8 @@
 
 // options are the flags of the serve command.
 type options struct {
+	// Settings is the path of the settings file.
+	Settings string
 	Metrics  string
 	LogLevel string
 }
@@ -23,7 +25,8 @@
 			" names, and serves callers until a signal.",
 		Args: command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			o.Settings = os.Getenv(platform.SettingsVariable)
+			settings, err := platform.LoadSettings(o.Settings)
 			if err != nil {
 				return err
 			}
--- a/router/duties.go
+++ b/router/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"cowslipshunt.example/platform"
@@ -40,7 +41,8 @@
 
 // dutyParts are what the duties work with.
 type dutyParts struct {
-	settings  *platform.Settings
+	// settings are the newest ones.
+	settings  *atomic.Pointer[platform.Settings]
 	self      lease.Identity
 	store     *platform.Store
 	clock     *truetime.Clock
@@ -67,12 +69,13 @@
 }
 
 func newDuties(p dutyParts) *duties {
-	bounds := p.settings.Bounds
+	settings := p.settings.Load()
+	bounds := settings.Bounds
 	keeper := lease.NewKeeper(dutyLease, p.self, p.store, bootClock{}, lease.WithTerm(bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
 	x := &duties{
 		dutyParts: p,
 		keeper:    keeper,
-		client:    platform.NewDuties(p.settings.DutyAddress, link.DialFunc(keeper.GuardedDial(link.Dial))),
+		client:    platform.NewDuties(settings.DutyAddress, link.DialFunc(keeper.GuardedDial(link.Dial))),
 		scaled:    map[scaleKey]scaleOrder{},
 		scalers:   map[wire.ServiceName]*fleet.Scaler{},
 		staged:    map[roster.Key]time.Time{},
@@ -118,7 +121,7 @@
 	if !belief.Holds {
 		return
 	}
-	if x.settings.ReportsUsage && x.clock.Agreed() {
+	if x.settings.Load().ReportsUsage && x.clock.Agreed() {
 		if err := x.reporter.Step(ctx); err != nil {
 			x.logger.Warn().Err(err).Msg("UsageReportFailed")
 		}
@@ -126,8 +129,8 @@
 	if t := x.relay.Table(); t != nil {
 		for _, name := range slices.Sorted(maps.Keys(t.Services)) {
 			list := x.directory.View().Service(name)
-			if x.settings.OrdersReplicas {
-				x.scale(ctx, list, x.scaler(name).Look(t.Services[name], list, x.settings.Domains))
+			if x.settings.Load().OrdersReplicas {
+				x.scale(ctx, list, x.scaler(name).Look(t.Services[name], list, x.settings.Load().Domains))
 			}
 			x.stage(ctx, fleet.DefaultPolicy.Changes(list))
 		}
--- a/router/serve.go
+++ b/router/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,7 +43,9 @@
 
 // node is one instance and what it consists of.
 type node struct {
-	settings  *platform.Settings
+	// settings are the newest ones, which were read from file.
+	settings  atomic.Pointer[platform.Settings]
+	file      *settingsFile
 	logger    *log.Logger
 	self      lease.Identity
 	directory *roster.Directory
@@ -63,10 +66,10 @@
 	hup    chan os.Signal
 }
 
-func newNode(s *platform.Settings, logger *log.Logger) *node {
+func newNode(s *platform.Settings, path string, logger *log.Logger) *node {
 	clock := clockwork.NewRealClock()
 	n := &node{
-		settings:  s,
+		file:      newSettingsFile(path),
 		logger:    logger,
 		self:      lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())},
 		directory: roster.NewDirectory(),
@@ -77,6 +80,7 @@
 		failed:    make(chan error, listeners),
 		hup:       make(chan os.Signal, 1),
 	}
+	n.settings.Store(s)
 	n.store = platform.NewStore(s.StoreAddress, n.agreed.Observe)
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreed.Now)
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
@@ -92,7 +96,7 @@
 // serve runs an instance until ctx ends.
 func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
 	signal.Ignore(syscall.SIGPIPE)
-	n := newNode(s, logger)
+	n := newNode(s, o.Settings, logger)
 	// SIGHUP is taken until the process ends; by default it would end it.
 	signal.Notify(n.hup, syscall.SIGHUP)
 	var err error
@@ -115,17 +119,17 @@
 	}
 	n.front.leaving.Store(true)
 	logger.Info().Msg("Stopping")
-	return stop(server, s.Bounds.StopGrace, logger)
+	return stop(server, n.settings.Load().Bounds.StopGrace, logger)
 }
 
 // start begins what runs beside the callers' requests. What writes to the store once more at the end is added to last.
 func (n *node) start(ctx context.Context, last *sync.WaitGroup) {
-	s := n.settings
+	s := n.settings.Load()
 	gather := func() time.Duration { return gatherTime(n.instances()) }
 	go followConfiguration(n.store, n.relay, gather, n.logger).run(ctx)
 	go followReplicas(n.store, n.directory, gather, n.logger).run(ctx)
 	x := newDuties(dutyParts{
-		settings: s, self: n.self, store: n.store, clock: n.agreed, counter: n.counter, relay: n.relay, directory: n.directory,
+		settings: &n.settings, self: n.self, store: n.store, clock: n.agreed, counter: n.counter, relay: n.relay, directory: n.directory,
 		reports: n.reports, board: n.board, logger: n.logger,
 	})
 	register := membership.NewRegister(n.store, s.Instance, s.Domain, s.PeerAddress, n.agreed.Now)
@@ -148,18 +152,19 @@
 
 // listen opens the instance's addresses and returns the callers' server.
 func (n *node) listen(o options) (*http.Server, error) {
+	s := n.settings.Load()
 	server := newFrontServer(n.front, n.idle)
-	if err := listen(server, n.settings.CallerAddress, n.failed); err != nil {
+	if err := listen(server, s.CallerAddress, n.failed); err != nil {
 		return nil, err
 	}
 	ready := newReadyServer(func() bool { return n.relay.Table() != nil && !n.front.leaving.Load() })
-	if err := listen(ready, n.settings.ReadyAddress, n.failed); err != nil {
+	if err := listen(ready, s.ReadyAddress, n.failed); err != nil {
 		return nil, err
 	}
 	if o.Metrics == "" {
 		return server, nil
 	}
-	host, _, err := net.SplitHostPort(n.settings.CallerAddress)
+	host, _, err := net.SplitHostPort(s.CallerAddress)
 	if err != nil {
 		return nil, err
 	}
@@ -175,8 +180,11 @@
 		case err := <-n.failed:
 			return err
 		case <-n.hup:
-			n.logger.Info().Str("Reason", "a changed settings file takes effect at the next start").Msg("Reloaded")
+			n.reload("a signal")
 		case <-ticker.C:
+			if n.file.changed() {
+				n.reload("the file has changed")
+			}
 			n.tidy()
 		case <-ctx.Done():
 			return nil
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,6 +49,7 @@
 	duties   *platformtest.Duties
 	replica  *platformtest.Replica
 	settings *platform.Settings
+	path     string
 	log      *output
 	stop     context.CancelFunc
 	done     chan error
@@ -82,11 +86,23 @@
 	x.settings = settings
 	ctx, stop := context.WithCancel(t.Context())
 	x.stop = stop
-	go func() { x.done <- serve(ctx, settings, options{}, newLogger(x.log, "debug", settings.Instance)) }()
+	x.path = filepath.Join(t.TempDir(), "boot.conf")
+	x.write(text)
+	go func() {
+		x.done <- serve(ctx, settings, options{Settings: x.path}, newLogger(x.log, "debug", settings.Instance))
+	}()
 	t.Cleanup(stop)
 	return x
 }
 
+// write replaces the settings file.
+func (x *instance) write(text string) {
+	x.t.Helper()
+	if err := os.WriteFile(x.path, []byte(text), 0o600); err != nil {
+		x.t.Fatal(err)
+	}
+}
+
 // configure writes a configuration with one key and one route to the replica.
 func (x *instance) configure(version int, key string) {
 	x.store.Put(platform.OperatorTable, platform.ConfigurationKey, platformtest.Configuration(version, key))
@@ -274,3 +290,30 @@
 		t.Errorf("the configuration was in force after %v", took)
 	}
 }
+
+// TestChangedSettingsAreInForceWithoutAStart changes the file without a signal, breaks it, and mends it with one.
+func TestChangedSettingsAreInForceWithoutAStart(t *testing.T) {
+	x := start(t, whole)
+	x.configure(1, "k")
+	x.eventually("a ready instance", x.ready)
+	data, err := os.ReadFile(x.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(data), "bounds.retry_slack=56", "bounds.retry_slack=200", 1)
+	x.write(strings.Replace(text, "bounds.lease_ms=3000", "bounds.lease_ms=4000", 1))
+	x.eventually("a line about the changed file", func() bool {
+		return strings.Contains(x.log.String(), `"InForce":["bounds.retry_slack"],"AtNextStart":["bounds.lease_ms"],"message":"Reloaded"`)
+	})
+	x.write(strings.Replace(text, "zone=a", "", 1))
+	x.eventually("a line about the findings", func() bool {
+		return strings.Contains(x.log.String(), `zone: is missing","message":"SettingsRejected"`)
+	})
+	if !x.ready() {
+		t.Error("a broken settings file took the instance out of service")
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	x.eventually("an answer to the signal", func() bool { return strings.Count(x.log.String(), "SettingsRejected") >= 2 })
+}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -142,6 +142,16 @@
 	}
 }
 
+// SetRatio changes how many sends beyond the first the retry budgets allow for each request.
+func (r *Relay) SetRatio(ratio float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bounds.Ratio = ratio
+	for _, b := range r.budgets {
+		b.SetRatio(ratio)
+	}
+}
+
 // refuseRetry is when a client should come back to an instance that has no configuration or no endpoint.
 const refuseRetry = 500 * time.Millisecond
 
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -38,6 +38,13 @@
 	b.slack = slack
 }
 
+// SetRatio changes the ratio of the requests.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
 // Request counts a request of a client.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
--- a/serving/retry/share.go
+++ b/serving/retry/share.go
@@ -26,6 +26,11 @@
 	return &Share{window: window, slack: slack, started: now}
 }
 
+// SetSlack changes what all instances have together.
+func (s *Share) SetSlack(slack float64) {
+	s.slack = slack
+}
+
 // Slack returns this instance's part, given how many instances are alive with this one. It is nothing until the others
 // have known of a new instance for a window: it may have spent a part before it was restarted, and they a larger one. It grows
 // only a window after others have gone, as what they spent counts for as long.
