Say in the log when an endpoint or a failure domain is left alone

Cause: pauses of endpoints, failure domains that count as cut off and endpoints that peers leave alone changed what an instance believes without a line; an incident had to be guessed from errors. Failed and Rejected now give the pause, EndpointRecovered and EndpointSuspected follow an endpoint, and DependencyLost and DependencyRegained name a failure domain. Test: TestChangesOfBeliefAreTold, red before (nobody was told). Ruled out: a line for each look at a paused endpoint (unbounded under load).

--- a/router/logger.go
+++ b/router/logger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipshunt.example/serving/relay"
+	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/process"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
@@ -88,6 +89,9 @@
 	if x.Endpoint != "" {
 		entry = entry.Int("Waiting", x.Waiting).Int("Unread", x.Unread)
 	}
+	if x.Pause > 0 {
+		entry = entry.Int64("PauseMillis", x.Pause.Milliseconds())
+	}
 	if x.Status != 0 {
 		entry = entry.Int("Status", x.Status)
 	}
@@ -96,3 +100,20 @@
 	}
 	entry.Err(x.Err).Msg(x.Step)
 }
+
+// DomainCut writes a line for a failure domain that is out of reach.
+func (d decisions) DomainCut(name wire.DomainName, pause time.Duration) {
+	metrics.GetOrCreateCounter(`router_domain_cuts_total{domain="` + string(name) + `"}`).Inc()
+	d.logger.Warn().Str("Dependency", "Domain").Str("Domain", string(name)).Int64("PauseMillis", pause.Milliseconds()).
+		Str("Reason", "several endpoints are out of reach").Msg("DependencyLost")
+}
+
+// DomainReached writes a line for a failure domain that is reached again.
+func (d decisions) DomainReached(name wire.DomainName) {
+	d.logger.Info().Str("Dependency", "Domain").Str("Domain", string(name)).Msg("DependencyRegained")
+}
+
+// suspected writes a line for an endpoint that is left alone, or no longer is, as peers do.
+func (d decisions) suspected(e *roster.Endpoint, paused int, suspected bool) {
+	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", paused).Bool("LeftAlone", suspected).Msg("EndpointSuspected")
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -85,10 +85,11 @@
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreed.Now)
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
 	n.reports = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, n.directory)
-	n.board = peerload.NewBoard(s.Instance, n.directory)
+	observer := decisions{logger: logger}
+	n.board = peerload.NewBoard(s.Instance, n.directory, peerload.WithSuspected(observer.suspected))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	courier := platform.NewCourier(n.pool, clock)
-	n.relay = relay.New(n.directory, courier, n.counter, decisions{logger: logger}, clock, s.Domain, bounds, relay.WithLearned(n.reports.Used))
+	n.relay = relay.New(n.directory, courier, n.counter, observer, clock, s.Domain, bounds, relay.WithLearned(n.reports.Used))
 	n.front = &front{relay: n.relay, logger: logger}
 	return n
 }
--- a/serving/peerload/board.go
+++ b/serving/peerload/board.go
@@ -30,6 +30,18 @@
 	// with each report: with many instances and endpoints, adding everything up each time would cost most of an instance's
 	// processor time.
 	sums map[wire.EndpointId]*endpointSum
+	// suspected is told when an endpoint comes to be left alone or no longer is, as so many peers leave it alone.
+	suspected func(e *roster.Endpoint, peers int, leftAlone bool)
+}
+
+// BoardOption changes a board.
+type BoardOption func(*Board)
+
+// WithSuspected sets what is told when an endpoint comes to be left alone, or no longer is, as so many peers leave it alone.
+func WithSuspected(suspected func(e *roster.Endpoint, peers int, leftAlone bool)) BoardOption {
+	return func(b *Board) {
+		b.suspected = suspected
+	}
 }
 
 type endpointSum struct {
@@ -43,8 +55,18 @@
 }
 
 // NewBoard returns an empty board of an instance.
-func NewBoard(self wire.InstanceName, d *roster.Directory) *Board {
-	return &Board{self: self, directory: d, peers: map[wire.InstanceName]*peer{}, sums: map[wire.EndpointId]*endpointSum{}}
+func NewBoard(self wire.InstanceName, d *roster.Directory, opts ...BoardOption) *Board {
+	b := &Board{
+		self:      self,
+		directory: d,
+		peers:     map[wire.InstanceName]*peer{},
+		sums:      map[wire.EndpointId]*endpointSum{},
+		suspected: func(*roster.Endpoint, int, bool) {},
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
 }
 
 // Take takes a report in unless it is older than the one known.
@@ -169,6 +191,8 @@
 	if !known {
 		s = &endpointSum{}
 	}
-	e.SetSuspected(s.paused >= accusers)
+	if leftAlone := s.paused >= accusers; e.SetSuspected(leftAlone) {
+		b.suspected(e, s.paused, leftAlone)
+	}
 	e.SetPeers(s.prefill, s.inFlight)
 }
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -177,10 +177,24 @@
 	return s
 }
 
-type nobody struct{ began int }
+// nobody meters, and keeps the changes of belief that it was told of.
+type nobody struct {
+	began           int
+	paused, domains []string
+}
 
 func (n *nobody) Began(wire.WorkspaceName) { n.began++ }
-func (n *nobody) Decided(_ relay.Decision) {}
+func (n *nobody) Decided(d relay.Decision) {
+	if d.Pause > 0 {
+		n.paused = append(n.paused, d.Step)
+	}
+}
+func (n *nobody) DomainCut(d wire.DomainName, _ time.Duration) {
+	n.domains = append(n.domains, "cut "+string(d))
+}
+func (n *nobody) DomainReached(d wire.DomainName) {
+	n.domains = append(n.domains, "reached "+string(d))
+}
 
 // world is a relay before a fleet of endpoints.
 type world struct {
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -37,6 +37,8 @@
 	source *Source
 	// waiting and unread are what the last choice of an engine went by.
 	waiting, unreadThere int
+	// pause is how long the endpoint that failed last is left alone, until that is logged.
+	pause time.Duration
 	// begun tells that the caller has the head of a stream, lastEvent the last event's id.
 	begun     bool
 	lastEvent string
@@ -109,8 +111,12 @@
 
 // worked notes that an endpoint has answered.
 func (j *job) worked(e *roster.Endpoint) {
-	e.Worked()
-	j.relay.reach.Reached(e.Entry())
+	if e.Worked() {
+		j.decided("EndpointRecovered", e, 0, "the endpoint had failed and has answered", nil)
+	}
+	if j.relay.reach.Reached(e.Entry()) {
+		j.relay.observer.DomainReached(e.Entry().Domain)
+	}
 }
 
 // attempt returns the next send.
@@ -144,12 +150,16 @@
 		return
 	}
 	j.not = append(j.not, e.Entry().ID)
-	e.Failed(j.relay.clock.Now())
+	now := j.relay.clock.Now()
+	j.pause = e.Failed(now)
+	j.decided("Failed", e, 0, "the endpoint failed", err)
 	var neverSent *NeverSentError
-	if errors.As(err, &neverSent) {
-		j.relay.reach.Unreached(e.Entry(), j.relay.clock.Now())
+	if !errors.As(err, &neverSent) {
+		return
+	}
+	if pause := j.relay.reach.Unreached(e.Entry(), now); pause > 0 {
+		j.relay.observer.DomainCut(e.Entry().Domain, pause)
 	}
-	j.decided("Failed", e, 0, "the endpoint failed", err)
 }
 
 // meter counts the request once it runs.
@@ -220,6 +230,7 @@
 	if e != nil {
 		d.Endpoint = e.Entry().ID
 		d.Waiting, d.Unread = j.waiting, j.unreadThere
+		d.Pause, j.pause = j.pause, 0
 	}
 	j.relay.observer.Decided(d)
 }
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -19,9 +19,13 @@
 	Began(w wire.WorkspaceName)
 }
 
-// Observer is told of each decision on a request.
+// Observer is told of each decision on a request, and of failure domains that are lost and regained.
 type Observer interface {
 	Decided(d Decision)
+	// DomainCut tells that a failure domain is left alone for a pause, as its endpoints are out of reach.
+	DomainCut(d wire.DomainName, pause time.Duration)
+	// DomainReached tells that an endpoint of such a domain has answered.
+	DomainReached(d wire.DomainName)
 }
 
 // Decision is one decision on a request with what decided it.
@@ -40,9 +44,11 @@
 	// Waiting and Unread are the tokens that waited at the endpoint when it was chosen, and those of this prompt that it was
 	// thought to have to read.
 	Waiting, Unread int
-	Status          int
-	Reason          string
-	Err             error
+	// Pause is for how long the endpoint is left alone from now on; 0 changes nothing.
+	Pause  time.Duration
+	Status int
+	Reason string
+	Err    error
 }
 
 // BudgetBounds bound the sends beyond the first over all instances.
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -238,3 +239,24 @@
 		t.Errorf("ran at %q", c.from)
 	}
 }
+
+// TestChangesOfBeliefAreTold holds that an engineer can see from the log since when an endpoint or a failure domain is left alone.
+func TestChangesOfBeliefAreTold(t *testing.T) {
+	d := deed(unreachable)
+	w := newWorld(func(*relay.Attempt) deed { return d })
+	w.ask(t, "/once/")
+	if len(w.meter.paused) == 0 || w.meter.paused[0] != "Failed" {
+		t.Errorf("pauses were told with %v", w.meter.paused)
+	}
+	if !slices.Equal(w.meter.domains, []string{"cut a"}) {
+		t.Errorf("told of domains: %v", w.meter.domains)
+	}
+	d = answers
+	for _, e := range w.directory.View().Service(plain) {
+		e.Worked()
+	}
+	w.ask(t, "/once/")
+	if !slices.Equal(w.meter.domains, []string{"cut a", "reached a"}) {
+		t.Errorf("told of domains: %v", w.meter.domains)
+	}
+}
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -92,9 +92,9 @@
 func (j *job) rejected(e *roster.Endpoint, a *Answer) {
 	j.not = append(j.not, e.Entry().ID)
 	if a.Misdirected {
-		e.Failed(j.relay.clock.Now())
+		j.pause = e.Failed(j.relay.clock.Now())
 	} else {
-		e.Rejected(j.relay.clock.Now())
+		j.pause = e.Rejected(j.relay.clock.Now())
 	}
 	j.freeSource()
 	j.decided("Rejected", e, a.Status, "the endpoint did not run the request", nil)
--- a/serving/roster/failure.go
+++ b/serving/roster/failure.go
@@ -23,18 +23,24 @@
 	return now.UnixNano() < f.retryAt.Load()
 }
 
-// failed doubles the pause. Requests that fail while the endpoint is paused began before and do not count.
-func (f *failure) failed(now time.Time) {
+// failed doubles the pause and returns it. Requests that fail while the endpoint is paused began before and do not count: these
+// return 0.
+func (f *failure) failed(now time.Time) time.Duration {
 	if f.paused(now) {
-		return
+		return 0
 	}
 	n := min(f.count.Add(1)-1, maxDoublings)
-	f.retryAt.Store(now.Add(min(pauseAtFirst<<n, pauseAtMost)).UnixNano())
+	pause := min(pauseAtFirst<<n, pauseAtMost)
+	f.retryAt.Store(now.Add(pause).UnixNano())
+	return pause
 }
 
-func (f *failure) worked() {
-	if f.count.Load() != 0 {
-		f.count.Store(0)
-		f.retryAt.Store(0)
+// worked ends the pause and tells whether the endpoint had failed before.
+func (f *failure) worked() bool {
+	if f.count.Load() == 0 {
+		return false
 	}
+	f.count.Store(0)
+	f.retryAt.Store(0)
+	return true
 }
--- a/serving/roster/reach.go
+++ b/serving/roster/reach.go
@@ -36,8 +36,8 @@
 	return &Reach{domains: map[wire.DomainName]*domainReach{}}
 }
 
-// Unreached notes that no connection to an endpoint was had.
-func (r *Reach) Unreached(entry *Entry, now time.Time) {
+// Unreached notes that no connection to an endpoint was had. It returns the pause of the failure domain if that begins now.
+func (r *Reach) Unreached(entry *Entry, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d, known := r.domains[entry.Domain]
@@ -51,17 +51,21 @@
 			delete(d.failed, id)
 		}
 	}
-	if len(d.failed) >= cutEndpoints && !now.Before(d.until) {
-		d.pause = min(max(2*d.pause, cutPause), cutPauseAtMost)
-		d.until = now.Add(d.pause)
+	if len(d.failed) < cutEndpoints || now.Before(d.until) {
+		return 0
 	}
+	d.pause = min(max(2*d.pause, cutPause), cutPauseAtMost)
+	d.until = now.Add(d.pause)
+	return d.pause
 }
 
-// Reached notes that an endpoint has answered.
-func (r *Reach) Reached(entry *Entry) {
+// Reached notes that an endpoint has answered, and tells whether its failure domain had counted as cut off.
+func (r *Reach) Reached(entry *Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	d, known := r.domains[entry.Domain]
 	delete(r.domains, entry.Domain)
+	return known && d.pause > 0
 }
 
 // Cut returns the failure domains that count as cut off, nil if none does.
--- a/serving/roster/replica.go
+++ b/serving/roster/replica.go
@@ -149,10 +149,11 @@
 	}
 }
 
-// Failed notes that the endpoint failed and pauses it, longer each time. What it kept counts as lost.
-func (e *Endpoint) Failed(now time.Time) {
-	e.failure.failed(now)
+// Failed notes that the endpoint failed and pauses it, longer each time. It returns the pause, 0 if it was paused already. What
+// the endpoint kept counts as lost.
+func (e *Endpoint) Failed(now time.Time) time.Duration {
 	e.cache.forget()
+	return e.failure.failed(now)
 }
 
 // Paused tells whether this instance leaves the endpoint alone as it failed.
@@ -160,18 +161,18 @@
 	return e.failure.paused(now)
 }
 
-// SetSuspected notes whether several other instances leave the endpoint alone.
-func (e *Endpoint) SetSuspected(suspected bool) {
-	e.suspected.Store(suspected)
+// SetSuspected notes whether several other instances leave the endpoint alone, and tells whether that is news.
+func (e *Endpoint) SetSuspected(suspected bool) bool {
+	return e.suspected.Swap(suspected) != suspected
 }
 
 // Rejected notes that the endpoint did not run a request, for it is full or away. It is paused like one that failed, as it
-// would otherwise look idle, but it keeps what it holds.
-func (e *Endpoint) Rejected(now time.Time) {
-	e.failure.failed(now)
+// would otherwise look idle, but it keeps what it holds. It returns the pause like Failed.
+func (e *Endpoint) Rejected(now time.Time) time.Duration {
+	return e.failure.failed(now)
 }
 
-// Worked notes that the endpoint answered.
-func (e *Endpoint) Worked() {
-	e.failure.worked()
+// Worked notes that the endpoint answered, and tells whether it had failed before.
+func (e *Endpoint) Worked() bool {
+	return e.failure.worked()
 }
