Run the duties inside the entry and remove the controller program

Cause: no machine is set aside for control, and a second process on each machine had settings, links, logs and a lifetime of its own for nothing: the duties (leases, orders, usage windows) are goroutines of the entry now, as they are of the router. The packages moved: controller/domain to entry/domain, the rest to entry/duty. The entry takes the settings LeaseTermMillis, OrderTimeoutMillis, TickMillis, WindowSeconds and NoDuties, and shows its leases at /status of the operations address; metrics controller_* are entry_*. A peer that is named twice is a finding, as an entry of the controller was. Tests: the lease and window proofs need to kill and pause a holder without cutting callers; they run the duties in instances apart that take no callers and the entries with NoDuties, as strict as before. All other proofs run both in one process, the rolling replacement of holders under load too. Ruled out: removing the control links as well (entries of other instances still take endpoint states and drains over them).

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 SHELL := /bin/bash
-MODULES := wire shared serving platform router entry controller cowslipshunt standin/platform standin/engine standin/service proof policy
+MODULES := wire shared serving platform router entry cowslipshunt standin/platform standin/engine standin/service proof policy
 PACKAGES := $(MODULES:%=./%/...)
 BIN := bin
-PROGRAMS := entry controller cowslipshunt router standin/platform standin/engine standin/service
+PROGRAMS := entry cowslipshunt router standin/platform standin/engine standin/service
 
 # Packages with stateful fuzzing take a fixed seed; the others know no such flags.
 FUZZED := $(sort $(patsubst %/,./%,$(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' $(MODULES)))))
@@ -53,7 +53,7 @@
 
 # Packages whose benchmarks give the slopes of docs/CAPACITY.md; what runs real programs is in proof/capacity.
 MEASURED := document endpoint queue usage channel booking
-SLOPES := $(MEASURED:%=./shared/%) ./entry/answer ./entry/billing ./entry/follower ./controller/domain
+SLOPES := $(MEASURED:%=./shared/%) ./entry/answer ./entry/billing ./entry/follower ./entry/domain
 BENCHTIME := 300ms
 HEADING = echo "$$(date -u +%F), $$(go env GOVERSION), $$(nproc) cores shared with other work"
 
--- a/controller/domain/orders.go
+++ b/entry/domain/orders.go
@@ -82,7 +82,7 @@
 	if e.Row.Endpoint == "" {
 		action = "SetCount"
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf(`controller_order_steps_total{action=%q,outcome=%q}`, action, outcome)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`entry_order_steps_total{action=%q,outcome=%q}`, action, outcome)).Inc()
 }
 
 func (w *Worker) logOrder(row wire.OrderRow, err error, text string) {
@@ -110,7 +110,7 @@
 		return
 	}
 	n.noted = true
-	metrics.GetOrCreateCounter("controller_postponed_drains_total").Inc()
+	metrics.GetOrCreateCounter("entry_postponed_drains_total").Inc()
 	w.logOrder(row, nil, why)
 }
 
--- a/controller/domain/worker_test.go
+++ b/entry/domain/worker_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"cowslipshunt.example/controller/domain"
+	"cowslipshunt.example/entry/domain"
 	"cowslipshunt.example/shared/channel"
 	"cowslipshunt.example/shared/document"
 	"cowslipshunt.example/shared/lease"
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"cowslipshunt.example/entry/answer"
 	"cowslipshunt.example/entry/billing"
+	"cowslipshunt.example/entry/domain"
+	"cowslipshunt.example/entry/duty"
 	"cowslipshunt.example/entry/follower"
 	"cowslipshunt.example/entry/operator"
 	"cowslipshunt.example/entry/peer"
@@ -51,6 +54,8 @@
 	operators  *operator.Server
 	recorder   *billing.Recorder
 	current    *document.Current
+	// duties is nil where the settings say so.
+	duties *duty.Duties
 }
 
 // serve runs an entry until ctx ends and everything in progress is done.
@@ -62,7 +67,12 @@
 		return err
 	}
 	defer p.hub.Close()
+	var duties sync.WaitGroup
+	if p.duties != nil {
+		duties.Go(func() { p.duties.Run(ctx) })
+	}
 	err = p.listen(ctx, background)
+	duties.Wait()
 	p.awaitCut(clockwork.NewRealClock())
 	stop()
 	p.services.Wait()
@@ -114,6 +124,9 @@
 		}
 	}()
 	<-router.Running()
+	if !cfg.NoDuties {
+		p.duties = duty.New(p.dutyConfig(self), clock, p.operations, logger)
+	}
 	follow.Start()
 	for _, known := range cfg.Peer {
 		p.hub.Dial(background, known.Address)
@@ -139,6 +152,29 @@
 	return list
 }
 
+// dutyConfig returns what the duties go by. The store's calls under a lease are bounded like orders.
+func (p *program) dutyConfig(self wire.Hello) duty.Config {
+	entries := []domain.Entry{{Instance: p.cfg.Instance, Address: p.cfg.PeerAddress}}
+	for _, known := range p.cfg.Peer {
+		if known.Domain == p.cfg.Domain {
+			entries = append(entries, domain.Entry{Instance: known.Instance, Address: known.Address})
+		}
+	}
+	return duty.Config{
+		Instance:     p.cfg.Instance,
+		Domain:       p.cfg.Domain,
+		Incarnation:  self.Incarnation,
+		Platform:     p.cfg.Platform,
+		PeerSecret:   p.cfg.PeerSecret,
+		Entries:      entries,
+		LeaseTerm:    millis(p.cfg.LeaseTermMillis),
+		OrderTimeout: millis(p.cfg.OrderTimeoutMillis),
+		StoreTimeout: millis(min(p.cfg.StoreTimeoutMillis, p.cfg.OrderTimeoutMillis)),
+		Tick:         millis(p.cfg.TickMillis),
+		Window:       time.Duration(p.cfg.WindowSeconds) * time.Second,
+	}
+}
+
 func (p *program) operatorList() []operator.Operator {
 	var list []operator.Operator
 	for _, o := range p.cfg.Operator {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,6 +52,15 @@
 	StoreTimeoutMillis int
 	// StopMillis bounds a graceful shutdown.
 	StopMillis int
+	// NoDuties keeps the instance from holding leases: it orders no endpoints and reports no usage.
+	NoDuties bool
+	// LeaseTermMillis is how long a lease lasts without renewal, OrderTimeoutMillis bounds an order under it.
+	LeaseTermMillis    int
+	OrderTimeoutMillis int
+	// TickMillis is how often the duties look for work.
+	TickMillis int
+	// WindowSeconds is the length of a usage window.
+	WindowSeconds int
 	// LeaveMillis is how long the entry still takes callers after it stopped being ready, for the balancer to move on.
 	LeaveMillis int
 }
@@ -78,6 +88,10 @@
 	defaultStoreTimeoutMillis = 2_000
 	defaultStopMillis         = 600_000
 	defaultLeaveMillis        = 1_000
+	defaultLeaseTermMillis    = 3_000
+	defaultOrderTimeoutMillis = 1_000
+	defaultTickMillis         = 250
+	defaultWindowSeconds      = 60
 )
 
 // Check returns every finding of the settings.
@@ -99,6 +113,9 @@
 		if peer.Instance == s.Instance {
 			c.Fail(fmt.Sprintf("Peer[%d].Instance", i), "an instance is no peer of its own")
 		}
+		if n := slices.IndexFunc(s.Peer, func(p peerSettings) bool { return p.Instance == peer.Instance }); n < i {
+			c.Fail(fmt.Sprintf("Peer[%d].Instance", i), "%q is Peer[%d] already", peer.Instance, n)
+		}
 	}
 	for i, o := range s.Operator {
 		c.Required(fmt.Sprintf("Operator[%d].Name", i), o.Name)
@@ -126,6 +143,10 @@
 		{"StoreTimeoutMillis", &s.StoreTimeoutMillis, defaultStoreTimeoutMillis},
 		{"StopMillis", &s.StopMillis, defaultStopMillis},
 		{"LeaveMillis", &s.LeaveMillis, defaultLeaveMillis},
+		{"LeaseTermMillis", &s.LeaseTermMillis, defaultLeaseTermMillis},
+		{"OrderTimeoutMillis", &s.OrderTimeoutMillis, defaultOrderTimeoutMillis},
+		{"TickMillis", &s.TickMillis, defaultTickMillis},
+		{"WindowSeconds", &s.WindowSeconds, defaultWindowSeconds},
 	}
 	for _, n := range numbers {
 		if *n.value < 0 {
@@ -135,6 +156,9 @@
 			*n.value = n.otherwise
 		}
 	}
+	if s.OrderTimeoutMillis >= s.LeaseTermMillis {
+		c.Fail("OrderTimeoutMillis", "%d is not less than LeaseTermMillis %d", s.OrderTimeoutMillis, s.LeaseTermMillis)
+	}
 }
 
 func millis(n int) time.Duration {
--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -12,9 +12,9 @@
 
 const loadedEngine = "Model = \"itinerary\"\nModelVersion = \"1\"\nDecodeMicrosPerToken = 2000\n"
 
-// small is one domain with two entries and endpoints that need no controller.
+// small is one domain with two entries and endpoints that need no holder of a lease.
 func small() plan {
-	return plan{domains: []string{"a"}, entries: 2, engines: 3, services: 1, engineSettings: loadedEngine, noControllers: true}
+	return plan{domains: []string{"a"}, entries: 2, engines: 3, services: 1, engineSettings: loadedEngine, noDuties: true}
 }
 
 // newSmall starts a small system whose endpoints are all ready.
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -22,7 +22,7 @@
 
 // entriesOnly is two failure domains with two entries each and nothing to send to.
 func entriesOnly() plan {
-	return plan{domains: []string{"a", "b"}, entries: 2, noControllers: true}
+	return plan{domains: []string{"a", "b"}, entries: 2, noDuties: true}
 }
 
 // weighted returns the first document with another weight of the second workspace.
@@ -156,7 +156,7 @@
 	for _, entries := range []int{8, 24} {
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
 			t.Setenv(exitAtOnce, exitAtOnceValue)
-			s := newSystem(t, plan{domains: []string{"a", "b"}, entries: entries / 2, noControllers: true})
+			s := newSystem(t, plan{domains: []string{"a", "b"}, entries: entries / 2, noDuties: true})
 			for i := range submissions {
 				out, code := s.submitAs(s.members[i%entries], fmt.Sprintf("submission-%d", i), i+1, s.weighted(i+2))
 				if code != 0 || strings.Contains(out, "not confirmed") {
--- a/proof/cutoff_test.go
+++ b/proof/cutoff_test.go
@@ -29,9 +29,9 @@
 func threeDomains() plan {
 	return plan{
 		domains: []string{"a", "b", "c"}, entries: 2, engines: 2, services: 1, checksFencing: true,
-		engineSettings:     "OrderMillis = 100\nDecodeMicrosPerToken = 2000\n",
-		controllerSettings: "LeaseTermMillis = 1500\nOrderTimeoutMillis = 500\nTickMillis = 100\nStoreTimeoutMillis = 500\n",
-		entrySettings:      "StallMillis = 1000\nQueueMillis = 1000\nClaimMillis = 1000\nStoreMillis = 300\nStoreTimeoutMillis = 1000\n",
+		engineSettings: "OrderMillis = 100\nDecodeMicrosPerToken = 2000\n",
+		dutySettings:   "LeaseTermMillis = 1500\nOrderTimeoutMillis = 500\nTickMillis = 100\n",
+		entrySettings:  "StallMillis = 1000\nQueueMillis = 1000\nClaimMillis = 1000\nStoreMillis = 300\nStoreTimeoutMillis = 1000\n",
 	}
 }
 
@@ -144,7 +144,7 @@
 	}
 }
 
-// hasHolder tells whether a controller of the entry's domain holds the domain's lease.
+// hasHolder tells whether an instance of the entry's domain holds the domain's lease.
 func (s *system) hasHolder(m *member) bool {
 	for _, other := range s.in(m.domain) {
 		for _, belief := range get[wire.LeaseBeliefList](other.status, "/status").Leases {
--- a/proof/holder_test.go
+++ b/proof/holder_test.go
@@ -11,7 +11,7 @@
 	"cowslipshunt.example/wire"
 )
 
-// holder plays the holder of a domain's lease for tests that need no controller: it lists every endpoint as ready.
+// holder plays the holder of a domain's lease for tests that need no holder of a lease: it lists every endpoint as ready.
 type holder struct {
 	hub    *channel.Hub
 	mu     sync.Mutex
--- a/proof/key_test.go
+++ b/proof/key_test.go
@@ -23,7 +23,7 @@
 // keptEvery is the pause between two requests of a caller on a kept connection.
 const keptEvery = 50 * time.Millisecond
 
-// twoDomains is two failure domains with two entries each and endpoints that need no controller.
+// twoDomains is two failure domains with two entries each and endpoints that need no holder of a lease.
 func twoDomains() plan {
 	p := small()
 	p.domains = []string{"a", "b"}
--- a/proof/lease_test.go
+++ b/proof/lease_test.go
@@ -9,7 +9,7 @@
 	"cowslipshunt.example/wire"
 )
 
-// beliefs asks every controller whether it believes that it holds a lease, until it is ended, and keeps what contradicts
+// beliefs asks every instance whether it believes that it holds a lease, until it is ended, and keeps what contradicts
 // itself.
 type beliefs struct {
 	s        *system
@@ -68,7 +68,7 @@
 	}
 }
 
-// belief returns what a controller believes about a lease; one that does not answer believes nothing to others.
+// belief returns what an instance believes about a lease; one that does not answer believes nothing to others.
 func (s *system) belief(m *member, lease wire.LeaseName) wire.LeaseBelief {
 	for _, l := range get[wire.LeaseBeliefList](m.status, "/status").Leases {
 		if l.Lease == lease {
@@ -78,7 +78,7 @@
 	return wire.LeaseBelief{}
 }
 
-// holderOf returns the member whose controller holds a lease, or nil.
+// holderOf returns the member whose instance holds a lease, or nil.
 func (s *system) holderOf(lease wire.LeaseName, not *member) *member {
 	for _, m := range s.members {
 		if m != not && s.belief(m, lease).Holds {
@@ -155,11 +155,12 @@
 }
 
 // TestHolderPausedInTheMidstOfAnOrder stops the holder while an engine carries out its order, changes the document, lets
-// another controller take over, and resumes the old holder late; with engines that check fencing and with ones that do not.
+// another instance take over, and resumes the old holder late; with engines that check fencing and with ones that do not.
 func TestHolderPausedInTheMidstOfAnOrder(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("ChecksFencing=%v", checks), func(t *testing.T) {
 			p := whole()
+			p.apart = true
 			p.checksFencing = checks
 			p.engineSettings = "OrderMillis = 600\nDecodeMicrosPerToken = 2000\n"
 			s := newSystem(t, p)
@@ -175,11 +176,11 @@
 			eventually(t, "an engine got the order", func() bool {
 				return len(s.engines[0].receivedOrders())+len(s.engines[1].receivedOrders()) > before
 			})
-			holder.controller.signal(syscall.SIGSTOP)
+			holder.duties.signal(syscall.SIGSTOP)
 			s.submitModelVersion(2, "3")
-			eventually(t, "another controller holds the lease", func() bool { return s.holderOf("domain/a", holder) != nil })
+			eventually(t, "another instance holds the lease", func() bool { return s.holderOf("domain/a", holder) != nil })
 			eventually(t, "version 3 is loaded", func() bool { return s.loadedEverywhere("3") })
-			holder.controller.signal(syscall.SIGCONT)
+			holder.duties.signal(syscall.SIGCONT)
 			eventually(t, "the old holder knows that it lost", func() bool {
 				b := s.belief(holder, "domain/a")
 				return b.Lease != "" && !b.Holds
@@ -197,6 +198,7 @@
 // TestKilledHolderIsReplaced kills the holder and restarts it, again and again, while documents change under load.
 func TestKilledHolderIsReplaced(t *testing.T) {
 	p := whole()
+	p.apart = true
 	p.engineSettings = "OrderMillis = 300\nDecodeMicrosPerToken = 2000\n"
 	s := newSystem(t, p)
 	s.serveFully()
@@ -208,9 +210,9 @@
 			t.Fatal("nobody holds the lease")
 		}
 		s.submitModelVersion(i+1, wire.ModelVersion(fmt.Sprint(i+2)))
-		holder.controller.kill()
-		eventually(t, "another controller holds the lease", func() bool { return s.holderOf("domain/a", holder) != nil })
-		holder.controller.restart(t)
+		holder.duties.kill()
+		eventually(t, "another instance holds the lease", func() bool { return s.holderOf("domain/a", holder) != nil })
+		holder.duties.restart(t)
 		eventually(t, "the version is loaded", func() bool { return s.loadedEverywhere(wire.ModelVersion(fmt.Sprint(i + 2))) })
 	}
 	l.finish(t, 10)
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -46,7 +46,7 @@
 	}
 	defer os.RemoveAll(dir)
 	binaries = dir
-	for _, program := range []string{"entry", "controller", "cowslipshunt", "standin/platform", "standin/engine", "standin/service"} {
+	for _, program := range []string{"entry", "cowslipshunt", "standin/platform", "standin/engine", "standin/service"} {
 		out := filepath.Join(dir, strings.ReplaceAll(program, "/", "-"))
 		build := exec.Command("go", "build", "-race", "-o", out, "../"+program)
 		if text, err := build.CombinedOutput(); err != nil {
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -34,30 +34,33 @@
 	engineSettings string
 	// entrySettings is added to each entry's settings, ahead of tables.
 	entrySettings string
-	// controllerSettings is added to each controller's settings, ahead of tables.
-	controllerSettings string
+	// dutySettings is added to the settings of each instance with duties, ahead of tables.
+	dutySettings string
 	// checksFencing tells whether engines refuse old epochs.
 	checksFencing bool
 	// cheap makes the model engines cheap.
 	cheap bool
-	// noControllers leaves the controllers out.
-	noControllers bool
+	// noDuties leaves the duties out. With apart they run in an instance beside each entry that takes no callers, so that a test can
+	// kill or pause their holder and cut no caller.
+	noDuties, apart bool
 }
 
-// member is one instance: an entry and the controller beside it.
+// member is one instance: an entry and, where they are apart, the instance with its duties.
 type member struct {
-	name          string
-	domain        string
-	address       string
-	operator      string
-	operations    string
+	name       string
+	domain     string
+	address    string
+	operator   string
+	operations string
+	// status is where the instance with the duties shows its leases.
 	status        string
 	peerProxy     *proxy
 	platformProxy *proxy
 	// ways are where each other domain reaches the entry's peer address.
-	ways       ways
-	entry      *running
-	controller *running
+	ways  ways
+	entry *running
+	// duties is the instance with the duties.
+	duties *running
 }
 
 // backend is one endpoint.
@@ -82,7 +85,7 @@
 	services []*backend
 }
 
-// newSystem starts the stand-ins, the entries and the controllers, and submits the first document.
+// newSystem starts the stand-ins and the instances, and submits the first document.
 func newSystem(t testing.TB, p plan) *system {
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir(), plan: p, platform: freeAddress(t)}
@@ -103,8 +106,9 @@
 	}
 	for _, m := range s.members {
 		m.entry = start(t, s.dir, "entry", m.name, s.entrySettings(m))
-		if !p.noControllers {
-			m.controller = start(t, s.dir, "controller", "controller-"+m.name, s.controllerSettings(m))
+		m.duties = m.entry
+		if p.apart {
+			m.duties = start(t, s.dir, "entry", "duties-"+m.name, s.apartSettings(m))
 		}
 	}
 	for _, m := range s.members {
@@ -161,10 +165,13 @@
 		address:       freeAddress(s.t),
 		operator:      freeAddress(s.t),
 		operations:    freeAddress(s.t),
-		status:        freeAddress(s.t),
 		peerProxy:     newProxy(s.t, freeAddress(s.t)),
 		platformProxy: newProxy(s.t, s.platform),
 	}
+	m.status = m.operations
+	if s.plan.apart {
+		m.status = freeAddress(s.t)
+	}
 	m.ways = newWays(s.t, m.peerProxy, domain, s.plan.domains)
 	return m
 }
@@ -175,6 +182,11 @@
 	fmt.Fprintf(&b, "Address = %q\nOperatorAddress = %q\n", m.address, m.operator)
 	fmt.Fprintf(&b, "PeerAddress = %q\nOperationsAddress = %q\n", m.peerProxy.target, m.operations)
 	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\n%s", m.platformProxy.address, peerSecret, s.plan.entrySettings)
+	if s.plan.noDuties || s.plan.apart {
+		b.WriteString("NoDuties = true\n")
+	} else {
+		b.WriteString(s.plan.dutySettings)
+	}
 	fmt.Fprintf(&b, "[[Operator]]\nName = \"board\"\nTokenDigest = %q\n", document.KeyDigest(operatorToken))
 	for _, other := range s.members {
 		if other != m {
@@ -184,13 +196,16 @@
 	return b.String()
 }
 
-func (s *system) controllerSettings(m *member) string {
+// apartSettings are those of an instance that takes no callers and does the duties of a member.
+func (s *system) apartSettings(m *member) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "Instance = %q\nDomain = %q\nAddress = %q\nLogLevel = \"debug\"\n", "controller-"+m.name, m.domain, m.status)
-	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\n%s", m.platformProxy.address, peerSecret, s.plan.controllerSettings)
+	fmt.Fprintf(&b, "Instance = %q\nDomain = %q\nLogLevel = \"debug\"\n", "duties-"+m.name, m.domain)
+	fmt.Fprintf(&b, "Address = %q\nOperatorAddress = %q\n", freeAddress(s.t), freeAddress(s.t))
+	fmt.Fprintf(&b, "PeerAddress = %q\nOperationsAddress = %q\n", freeAddress(s.t), m.status)
+	fmt.Fprintf(&b, "Platform = %q\nPeerSecret = %q\nLeaveMillis = 50\n%s", m.platformProxy.address, peerSecret, s.plan.dutySettings)
 	for _, other := range s.members {
 		if other.domain == m.domain {
-			fmt.Fprintf(&b, "[[Entry]]\nInstance = %q\nAddress = %q\n", other.name, other.peerProxy.address)
+			fmt.Fprintf(&b, "[[Peer]]\nInstance = %q\nDomain = %q\nAddress = %q\n", other.name, other.domain, other.peerProxy.address)
 		}
 	}
 	return b.String()
--- a/proof/whole_test.go
+++ b/proof/whole_test.go
@@ -13,16 +13,16 @@
 	"github.com/openai/openai-go/v3/option"
 )
 
-// whole is one domain with everything: entries, controllers, engines that start empty, and a service.
+// whole is one domain with everything: entries, engines that start empty, and a service.
 func whole() plan {
 	return plan{
 		domains: []string{"a"}, entries: 2, engines: 2, services: 1, checksFencing: true,
-		engineSettings:     "OrderMillis = 100\nDecodeMicrosPerToken = 2000\n",
-		controllerSettings: "LeaseTermMillis = 1500\nOrderTimeoutMillis = 500\nTickMillis = 100\nWindowSeconds = 2\n",
+		engineSettings: "OrderMillis = 100\nDecodeMicrosPerToken = 2000\n",
+		dutySettings:   "LeaseTermMillis = 1500\nOrderTimeoutMillis = 500\nTickMillis = 100\nWindowSeconds = 2\n",
 	}
 }
 
-// TestOfficialClientIsServed runs the whole path: a document is submitted, a controller orders endpoints and loads the
+// TestOfficialClientIsServed runs the whole path: a document is submitted, the holder of the lease orders endpoints and loads the
 // model, and the official client gets a plain and a streamed answer.
 func TestOfficialClientIsServed(t *testing.T) {
 	s := newSystem(t, whole())
@@ -137,7 +137,7 @@
 	t.Logf("%d whole streams", l.whole)
 }
 
-// TestRollingReplacementCutsNothing replaces every entry and every controller under load.
+// TestRollingReplacementCutsNothing replaces every instance under load, those that hold leases too.
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	p := whole()
 	p.entrySettings = "LeaveMillis = 300\n"
@@ -145,12 +145,10 @@
 	s.serveFully()
 	l := startLoad(s, 8)
 	for _, m := range s.members {
-		for _, program := range []*running{m.entry, m.controller} {
-			if code := program.stop(t); code != 0 {
-				t.Errorf("%s exited %d", program.name, code)
-			}
-			program.restart(t)
+		if code := m.entry.stop(t); code != 0 {
+			t.Errorf("%s exited %d", m.entry.name, code)
 		}
+		m.entry.restart(t)
 		s.waitReady(m.name, m.operations, "/readyz")
 	}
 	s.serveFully()
--- a/proof/window_test.go
+++ b/proof/window_test.go
@@ -18,16 +18,17 @@
 func windowPlan() plan {
 	p := whole()
 	p.domains = []string{"a", "b"}
+	p.apart = true
 	p.entrySettings = "LeaveMillis = 50\nStoreTimeoutMillis = 500\n"
-	p.controllerSettings = "LeaseTermMillis = 1500\nOrderTimeoutMillis = 500\nTickMillis = 100\nWindowSeconds = 1\nStoreTimeoutMillis = 500\n"
+	p.dutySettings = "LeaseTermMillis = 1500\nOrderTimeoutMillis = 500\nTickMillis = 100\nWindowSeconds = 1\nStoreTimeoutMillis = 500\n"
 	return p
 }
 
-// reporter waits for the instance whose controller holds the usage lease.
+// reporter waits for the instance whose instance holds the usage lease.
 func (s *system) reporter(t *testing.T) *member {
 	t.Helper()
 	var holder *member
-	eventually(t, "a controller holds the usage lease", func() bool {
+	eventually(t, "an instance holds the usage lease", func() bool {
 		for _, m := range s.members {
 			if s.belief(m, usageLease).Holds {
 				holder = m
@@ -67,28 +68,28 @@
 	}
 	faults := []func(m *member){
 		func(m *member) {
-			m.controller.kill()
-			m.controller.restart(t)
+			m.duties.kill()
+			m.duties.restart(t)
 		},
 		func(m *member) {
-			m.controller.signal(syscall.SIGSTOP)
+			m.duties.signal(syscall.SIGSTOP)
 			<-time.After(pausedFor)
-			m.controller.signal(syscall.SIGCONT)
+			m.duties.signal(syscall.SIGCONT)
 		},
 		func(m *member) {
 			reporting(wire.PlatformFault{LoseAnswers: true})
 			s.reportedAgain(t)
-			m.controller.kill()
-			m.controller.restart(t)
+			m.duties.kill()
+			m.duties.restart(t)
 			<-time.After(pausedFor)
 			reporting(wire.PlatformFault{})
 		},
 		func(m *member) {
 			reporting(wire.PlatformFault{DelayMillis: 1000})
 			s.reportedAgain(t)
-			m.controller.signal(syscall.SIGSTOP)
+			m.duties.signal(syscall.SIGSTOP)
 			<-time.After(pausedFor)
-			m.controller.signal(syscall.SIGCONT)
+			m.duties.signal(syscall.SIGCONT)
 			reporting(wire.PlatformFault{})
 		},
 		func(m *member) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,7 +48,7 @@
 }
 
 for name in platform platform_ops engine1 engine1_ops engine2 engine2_ops service service_ops \
-  caller1 operator1 peer1 ops1 status1 caller2 operator2 peer2 ops2 status2; do
+  caller1 operator1 peer1 ops1 caller2 operator2 peer2 ops2; do
   free_address
   declare "$name=$address"
 done
@@ -86,7 +86,7 @@
 TOML
 for n in 1 2; do
   other=$((3 - n))
-  caller=caller$n operator=operator$n peer=peer$n ops=ops$n status=status$n other_peer=peer$other
+  caller=caller$n operator=operator$n peer=peer$n ops=ops$n other_peer=peer$other
   cat >"$dir/entry$n.toml" <<TOML
 Instance = "entry-$n"
 Domain = "qld-a"
@@ -96,20 +96,9 @@
 OperationsAddress = "${!ops}"
 Platform = "$platform"
 PeerSecret = "$peer_secret"
+WindowSeconds = 5
 Peer = [{ Instance = "entry-$other", Domain = "qld-a", Address = "${!other_peer}" }]
 Operator = [{ Name = "board", TokenDigest = "$token_digest" }]
-TOML
-  cat >"$dir/controller$n.toml" <<TOML
-Instance = "controller-$n"
-Domain = "qld-a"
-Address = "${!status}"
-Platform = "$platform"
-PeerSecret = "$peer_secret"
-WindowSeconds = 5
-Entry = [
-  { Instance = "entry-1", Address = "$peer1" },
-  { Instance = "entry-2", Address = "$peer2" },
-]
 TOML
 done
 cat >"$dir/document.toml" <<TOML
@@ -166,10 +155,9 @@
 start service standin-service
 until_true curl -fsS "http://$platform/instances" || failed "the platform does not answer"
 held
-step "two entries and two controllers"
+step "two entries"
 for n in 1 2; do
   start "entry$n" entry
-  start "controller$n" controller
 done
 until_true curl -fsS "http://$ops1/healthz" || failed "entry-1 does not answer"
 until_true curl -fsS "http://$ops2/healthz" || failed "entry-2 does not answer"
@@ -181,7 +169,7 @@
 until_true curl -fsS "http://$ops2/readyz" || failed "entry-2 has no document"
 held "$(head -n 1 "$dir/submit.out")"
 
-step "the controllers order endpoints and load the model"
+step "the holder of the lease orders endpoints and loads the model"
 chat='{"model":"itinerary","max_tokens":8,"messages":[{"role":"user","content":"plan a route from cairns to hall four"}]}'
 ask() { curl -fsS -m 20 -H "Authorization: Bearer $key" -H 'Content-Type: application/json' "$@"; }
 until_true ask -d "$chat" "http://$caller1/v1/chat/completions" || failed "no engine answers"
