Keep the stand-ins when the duties change hands

Cause: a new holder of the lease did not know that spot endpoints had been reclaimed before its time, and let the steady ones that stood in go. A holder that looks for the first time and finds more steady endpoints than usual, few spot ones in the failure domain and some elsewhere takes the domain for reclaimed. Test: TestNewHolderKeepsStandIns, red before.

--- a/serving/fleet/plan_test.go
+++ b/serving/fleet/plan_test.go
@@ -145,3 +145,32 @@
 		t.Errorf("got %+v", changes)
 	}
 }
+
+// TestNewHolderKeepsStandIns lets the duties change hands while a failure domain's spot endpoints are reclaimed and prompts wait. A
+// holder that let the stand-ins go would leave the domain without engines for the time that others take to start.
+func TestNewHolderKeepsStandIns(t *testing.T) {
+	p := newPark()
+	p.add("a", false, roster.Prefill, 4)
+	p.add("b", false, roster.Decode, 1)
+	p.add("b", true, roster.Prefill, 7)
+	domains := []wire.DomainName{"a", "b"}
+	s := fleet.NewScaler(policy)
+	for range 10 {
+		wanted := s.Look(service, p.list(), domains)
+		if count(wanted, "a", false) != 4 || count(wanted, "b", false) != 1 {
+			t.Fatalf("the new holder wants %+v", wanted)
+		}
+	}
+	p.add("a", true, roster.Prefill, 7)
+	if wanted := s.Look(service, p.list(), domains); count(wanted, "a", false) != 1 {
+		t.Errorf("once the spot endpoints are back: %+v", wanted)
+	}
+}
+
+func TestFirstHolderOfADeploymentOrdersSpotEndpoints(t *testing.T) {
+	p := newPark()
+	p.add("a", false, roster.Decode, 4)
+	if wanted := fleet.NewScaler(policy).Look(service, p.list(), []wire.DomainName{"a"}); count(wanted, "a", false) != 1 || count(wanted, "a", true) != 7 {
+		t.Errorf("the first holder wants %+v", wanted)
+	}
+}
--- a/serving/fleet/scaler.go
+++ b/serving/fleet/scaler.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/route"
 	"cowslipshunt.example/wire"
@@ -22,13 +24,15 @@
 	policy Policy
 	// dry are the failure domains whose spot endpoints were reclaimed or refused.
 	dry map[wire.DomainName]bool
+	// looked are the failure domains that were looked at before.
+	looked map[wire.DomainName]bool
 	// backlog is the smoothed number of tokens that wait to be prefilled at each prefill engine.
 	backlog float64
 }
 
 // NewScaler returns a scaler that has seen nothing.
 func NewScaler(p Policy) *Scaler {
-	return &Scaler{policy: p, dry: map[wire.DomainName]bool{}}
+	return &Scaler{policy: p, dry: map[wire.DomainName]bool{}, looked: map[wire.DomainName]bool{}}
 }
 
 // Refused notes that an order of spot endpoints was refused: there are none to be had.
@@ -60,7 +64,13 @@
 // standIns returns how many steady endpoints stand in for spot ones in a failure domain.
 func (s *Scaler) standIns(list []*roster.Endpoint, d wire.DomainName, spot int) int {
 	listed := Listed(list, d, true)
+	standing := Listed(list, d, false) > s.policy.Steady
+	first := !s.looked[d]
+	s.looked[d] = true
 	switch {
+	case first && standing && 2*listed < spot && slices.ContainsFunc(list, func(e *roster.Endpoint) bool { return e.Entry().Spot }):
+		// Other spot endpoints run, so a holder before has ordered these steady ones as stand-ins.
+		s.dry[d] = true
 	case reclaimed(list, d):
 		s.dry[d] = true
 	case 2*listed >= spot:
@@ -69,7 +79,6 @@
 	if !s.dry[d] {
 		return 0
 	}
-	standing := Listed(list, d, false) > s.policy.Steady
 	if !standing && s.backlog < s.policy.StandInBacklog {
 		return 0
 	}
