Call a store that turns calls away less often

A call that was turned away at once is followed by a pause of up to 800 ms, by the number of instances; one that waited in vain by 250 ms as before. An instance that is no standby looks at the lease again 3 s after a look failed. Ruled out: a longer pause after calls that waited in vain (the store's return would be noticed too late). Tests: an outage of 4 s costs one of 80 instances its share of 100 calls a second, and one of 10 s a quarter of the looks; both red before.

--- a/router/follower.go
+++ b/router/follower.go
@@ -13,12 +13,29 @@
 	"github.com/phuslu/log"
 )
 
-// Pauses between calls to the store after a failure.
+// Pauses between calls to the store after a failure. Calls that the store turns away are billed too.
 const (
 	retryAtFirst = 50 * time.Millisecond
-	retryAtMost  = 250 * time.Millisecond
+	// retryAtMost bounds the pause after a call that waited in vain: with the wait it stays under a second, so that the store's
+	// return is noticed in time.
+	retryAtMost = 250 * time.Millisecond
+	// retriesPerSecond is how many calls of one table all instances together make a second while the store turns them away, and
+	// turnedAwayAtMost the longest pause for that: with the time that entries have to come back it stays under the 3 s after
+	// which an instance counts as in touch again.
+	retriesPerSecond = 100
+	turnedAwayAtMost = 800 * time.Millisecond
+	// quickFailure is what a call takes at most that was turned away and did not wait in vain.
+	quickFailure = 200 * time.Millisecond
 )
 
+// longestPause bounds the pause of one of so many instances after a call that failed after a time.
+func longestPause(instances int, took time.Duration) time.Duration {
+	if took > quickFailure {
+		return retryAtMost
+	}
+	return min(max(time.Duration(instances)*time.Second/retriesPerSecond, retryAtMost), turnedAwayAtMost)
+}
+
 // Bounds of how long changes of a table are gathered before the next feed. Each change that all instances ask for by itself costs
 // as many calls as there are instances.
 const (
@@ -43,8 +60,8 @@
 	take func(rows []platform.Row, whole bool)
 	// lost and back are called when the store stops answering and when it answers again.
 	lost, back func()
-	// gather returns how long changes are gathered after some came.
-	gather func() time.Duration
+	// instances counts the instances alive.
+	instances func() int
 
 	version int
 	read    bool
@@ -57,6 +74,7 @@
 func (f *follower) run(ctx context.Context) {
 	pause := retryAtFirst
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := f.step(ctx)
 		if err == nil {
 			pause = retryAtFirst
@@ -75,11 +93,12 @@
 		f.missed(err)
 		// A read fails sooner than a feed, which the store may hold for long.
 		f.read = false
+		longest := longestPause(f.instances(), time.Since(began))
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(min(pause, longest)):
 		}
-		pause = min(2*pause, retryAtMost)
+		pause = min(2*pause, longest)
 	}
 }
 
@@ -90,7 +109,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.gather()):
+	case <-time.After(gatherTime(f.instances())):
 	}
 }
 
@@ -137,7 +156,7 @@
 }
 
 // followConfiguration puts each newer configuration of the operator in force.
-func followConfiguration(store *platform.Store, r *relay.Relay, gather func() time.Duration, logger *log.Logger) *follower {
+func followConfiguration(store *platform.Store, r *relay.Relay, instances func() int, logger *log.Logger) *follower {
 	take := func(rows []platform.Row, _ bool) {
 		for _, row := range rows {
 			if row.Key == platform.ConfigurationKey && !row.Dropped {
@@ -145,7 +164,7 @@
 			}
 		}
 	}
-	return &follower{store: store, table: platform.OperatorTable, logger: logger, take: take, lost: func() {}, back: func() {}, gather: gather}
+	return &follower{store: store, table: platform.OperatorTable, logger: logger, take: take, lost: func() {}, back: func() {}, instances: instances}
 }
 
 func takeConfiguration(row platform.Row, r *relay.Relay, logger *log.Logger) {
@@ -163,7 +182,7 @@
 }
 
 // followReplicas keeps the directory as the store lists the replicas.
-func followReplicas(store *platform.Store, d *roster.Directory, gather func() time.Duration, logger *log.Logger) *follower {
+func followReplicas(store *platform.Store, d *roster.Directory, instances func() int, logger *log.Logger) *follower {
 	take := func(rows []platform.Row, whole bool) {
 		listed := map[wire.EndpointId]bool{}
 		d.Batch(func() {
@@ -184,7 +203,7 @@
 		d.StoreBack(time.Now())
 		time.AfterFunc(roster.LapseGrace, func() { settle(d, logger) })
 	}
-	return &follower{store: store, table: platform.ReplicaTable, logger: logger, take: take, lost: d.StoreLost, back: back, gather: gather}
+	return &follower{store: store, table: platform.ReplicaTable, logger: logger, take: take, lost: d.StoreLost, back: back, instances: instances}
 }
 
 // settle drops the endpoints whose entries lapsed with the store and did not come back.
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -21,8 +22,8 @@
 	client := platform.NewStore(store.Address, nil)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	gather := func() time.Duration { return gatherTime(instances) }
-	go followReplicas(client, d, gather, newLogger(io.Discard, "error", "i")).run(ctx)
+	alive := func() int { return instances }
+	go followReplicas(client, d, alive, newLogger(io.Discard, "error", "i")).run(ctx)
 	listed := func(n int) bool { return len(d.View().All()) == n }
 	ticker := time.NewTicker(apart)
 	defer ticker.Stop()
@@ -50,3 +51,35 @@
 		}
 	}
 }
+
+// TestStoreThatTurnsAwayGetsFewCalls is an outage of a large deployment's store, which refuses each call at once.
+func TestStoreThatTurnsAwayGetsFewCalls(t *testing.T) {
+	const instances, outage = 80, 4 * time.Second
+	store := platformtest.NewStore(t)
+	store.Fail(http.StatusServiceUnavailable)
+	client := platform.NewStore(store.Address, nil)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	alive := func() int { return instances }
+	go followReplicas(client, roster.NewDirectory(), alive, newLogger(io.Discard, "error", "i")).run(ctx)
+	<-time.After(outage)
+	// The pauses double from retryAtFirst to the longest: five calls come before that.
+	share := outage.Seconds() * retriesPerSecond / instances
+	if calls := store.Calls(); float64(calls) > share+5 {
+		t.Errorf("an instance made %d calls within %v, its share is %.1f", calls, outage, share)
+	}
+}
+
+func TestPausesLeaveTimeToNoticeTheStoresReturn(t *testing.T) {
+	for instances, want := range map[int]time.Duration{8: retryAtMost, 50: 500 * time.Millisecond, 400: turnedAwayAtMost} {
+		if got := longestPause(instances, 10*time.Millisecond); got != want {
+			t.Errorf("%d instances that are turned away pause for %v, want %v", instances, got, want)
+		}
+		if got := longestPause(instances, 700*time.Millisecond); got != retryAtMost {
+			t.Errorf("%d instances that wait in vain pause for %v", instances, got)
+		}
+	}
+	if turnedAwayAtMost+roster.LapseGrace >= contact {
+		t.Error("lapsed entries are dropped after the instance counts as in touch")
+	}
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -126,9 +126,8 @@
 // start begins what runs beside the callers' requests. What writes to the store once more at the end is added to last.
 func (n *node) start(ctx context.Context, last *sync.WaitGroup) {
 	s := n.settings.Load()
-	gather := func() time.Duration { return gatherTime(n.instances()) }
-	go followConfiguration(n.store, n.relay, gather, n.logger).run(ctx)
-	go followReplicas(n.store, n.directory, gather, n.logger).run(ctx)
+	go followConfiguration(n.store, n.relay, n.instances, n.logger).run(ctx)
+	go followReplicas(n.store, n.directory, n.instances, n.logger).run(ctx)
 	x := newDuties(dutyParts{
 		settings: &n.settings, self: n.self, store: n.store, clock: n.agreed, counter: n.counter, relay: n.relay, directory: n.directory,
 		reports: n.reports, board: n.board, logger: n.logger,
--- a/serving/membership/standby.go
+++ b/serving/membership/standby.go
@@ -13,12 +13,21 @@
 	// change of holders would cost a large deployment hundreds of calls.
 	challengers    = 4
 	challengeEvery = 500 * time.Millisecond
+	// challengeAgain is how long after a failed look an instance that is no standby looks again: the store may be away for all.
+	challengeAgain = 3 * time.Second
 )
 
 // Standby decides when an instance that does not hold a lease looks at it. It is for one goroutine.
 type Standby struct {
 	// unheard is since when no holder reports, looked when the instance looked last.
 	unheard, looked time.Time
+	// failed is when a look failed last.
+	failed time.Time
+}
+
+// Failed notes that a look had no answer.
+func (s *Standby) Failed(now time.Time) {
+	s.failed = now
 }
 
 // Looks tells whether the instance looks at the lease now. Its place is how many instances come before it in an order that all
@@ -39,5 +48,8 @@
 	if s.unheard.IsZero() {
 		s.unheard = now
 	}
-	return place < standbys || now.Sub(s.unheard) >= time.Duration(place/challengers)*challengeEvery
+	if place < standbys {
+		return true
+	}
+	return now.Sub(s.unheard) >= time.Duration(place/challengers)*challengeEvery && now.Sub(s.failed) >= challengeAgain
 }
--- a/serving/membership/standby_test.go
+++ b/serving/membership/standby_test.go
@@ -57,3 +57,21 @@
 		}
 	}
 }
+
+// TestOutageCostsFewLooks is a store that is away for all of a large deployment, while nobody can hold the lease.
+func TestOutageCostsFewLooks(t *testing.T) {
+	list := make([]membership.Standby, 80)
+	start := time.Unix(1e9, 0)
+	n := 0
+	for wait := time.Duration(0); wait < 10*time.Second; wait += 500 * time.Millisecond {
+		for place := range list {
+			if list[place].Looks(place, false, start.Add(wait)) {
+				list[place].Failed(start.Add(wait))
+				n++
+			}
+		}
+	}
+	if all := 80 * 20; n > all/4 {
+		t.Errorf("an outage of 10 s costs %d looks of %d", n, all)
+	}
+}
