Hold feeds without changes longer the more instances there are

Cause: a feed ended every 3.5 s though nothing had changed; with 80 instances and two tables that is 46 calls a second, a sixth of all. The wait now grows with the instances up to 10 s; 8 of them keep 3.5 s. A connection that falls silent is ended by the kernel's probes within 3 s, as before; the wait bounds only how long an answer is missed that was lost on a connection that lives. The wait is the follower's to choose, no longer the platform client's. Ruled out: no bound at all (a lost answer would be missed for good).

--- a/router/follower.go
+++ b/router/follower.go
@@ -46,6 +46,20 @@
 	gatherAtMost = 500 * time.Millisecond
 )
 
+// Bounds of how long the store holds a feed without changes. The kernel's probes end a connection that has fallen silent within 3 s;
+// the wait bounds how long an answer is missed that was lost on a connection that lives.
+const (
+	feedWaitAtLeast = 3500 * time.Millisecond
+	feedWaitAtMost  = 10 * time.Second
+	// idleFeedsPerSecond is how many feeds without changes all instances together make a second of one table.
+	idleFeedsPerSecond = 8
+)
+
+// feedWait is how long one of so many instances lets the store hold a feed.
+func feedWait(instances int) time.Duration {
+	return min(max(time.Duration(instances)*time.Second/idleFeedsPerSecond, feedWaitAtLeast), feedWaitAtMost)
+}
+
 // gatherTime is how long one of so many instances gathers changes.
 func gatherTime(instances int) time.Duration {
 	return min(time.Duration(instances)*time.Second/feedsPerSecond, gatherAtMost)
@@ -125,7 +139,7 @@
 		f.version, f.read, f.changed = all.Version, true, false
 		return nil
 	}
-	changes, err := f.store.Feed(ctx, f.table, f.version)
+	changes, err := f.store.Feed(ctx, f.table, f.version, feedWait(f.instances()))
 	if err != nil {
 		return err
 	}
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -83,3 +83,11 @@
 		t.Error("lapsed entries are dropped after the instance counts as in touch")
 	}
 }
+
+func TestFeedsWaitLongerTheMoreInstancesThereAre(t *testing.T) {
+	for instances, want := range map[int]time.Duration{8: feedWaitAtLeast, 56: 7 * time.Second, 400: feedWaitAtMost} {
+		if got := feedWait(instances); got != want {
+			t.Errorf("%d instances let the store hold a feed for %v, want %v", instances, got, want)
+		}
+	}
+}
