Keep the paces that grow with the instances in one package

A reading of the change: how often instances call the store, gather changes and pause stood in the router beside the loop that uses it; these are decisions and need no network, so they are in serving/membership, with their bounds and tests in one place. No change of behaviour.

--- a/router/cmd_serve.go
+++ b/router/cmd_serve.go
@@ -22,7 +22,7 @@
 		Use:   "serve",
 		Short: "serve callers until a signal",
 		Long: "serve reads the settings file that the environment variable " + platform.SettingsVariable +
-			" names, and serves callers until a signal.",
+			" names, and serves callers until a signal. It reads the file anew when the file has changed, and at SIGHUP.",
 		Args: command.Input(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			o.Settings = os.Getenv(platform.SettingsVariable)
--- a/router/follower.go
+++ b/router/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/wire"
@@ -13,58 +14,6 @@
 	"github.com/phuslu/log"
 )
 
-// Pauses between calls to the store after a failure. Calls that the store turns away are billed too.
-const (
-	retryAtFirst = 50 * time.Millisecond
-	// retryAtMost bounds the pause after a call that waited in vain: with the wait it stays under a second, so that the store's
-	// return is noticed in time.
-	retryAtMost = 250 * time.Millisecond
-	// retriesPerSecond is how many calls of one table all instances together make a second while the store turns them away, and
-	// turnedAwayAtMost the longest pause for that: with the time that entries have to come back it stays under the 3 s after
-	// which an instance counts as in touch again.
-	retriesPerSecond = 100
-	turnedAwayAtMost = 800 * time.Millisecond
-	// quickFailure is what a call takes at most that was turned away and did not wait in vain.
-	quickFailure = 200 * time.Millisecond
-)
-
-// longestPause bounds the pause of one of so many instances after a call that failed after a time.
-func longestPause(instances int, took time.Duration) time.Duration {
-	if took > quickFailure {
-		return retryAtMost
-	}
-	return min(max(time.Duration(instances)*time.Second/retriesPerSecond, retryAtMost), turnedAwayAtMost)
-}
-
-// Bounds of how long changes of a table are gathered before the next feed. Each change that all instances ask for by itself costs
-// as many calls as there are instances.
-const (
-	// feedsPerSecond is how many feeds with changes all instances together make of one table: a tenth of the smallest read rate of
-	// the store, 2,000 a second, over the tables that change.
-	feedsPerSecond = 160
-	// gatherAtMost leaves three quarters of the 2 s in which a leaving endpoint or a new configuration has to be heeded.
-	gatherAtMost = 500 * time.Millisecond
-)
-
-// Bounds of how long the store holds a feed without changes. The kernel's probes end a connection that has fallen silent within 3 s;
-// the wait bounds how long an answer is missed that was lost on a connection that lives.
-const (
-	feedWaitAtLeast = 3500 * time.Millisecond
-	feedWaitAtMost  = 10 * time.Second
-	// idleFeedsPerSecond is how many feeds without changes all instances together make a second of one table.
-	idleFeedsPerSecond = 8
-)
-
-// feedWait is how long one of so many instances lets the store hold a feed.
-func feedWait(instances int) time.Duration {
-	return min(max(time.Duration(instances)*time.Second/idleFeedsPerSecond, feedWaitAtLeast), feedWaitAtMost)
-}
-
-// gatherTime is how long one of so many instances gathers changes.
-func gatherTime(instances int) time.Duration {
-	return min(time.Duration(instances)*time.Second/feedsPerSecond, gatherAtMost)
-}
-
 // follower keeps what one table of the store holds. It reads the table whole and then follows its changes.
 type follower struct {
 	store  *platform.Store
@@ -86,12 +35,12 @@
 
 // run follows the table until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	pause := retryAtFirst
+	pause := membership.RetryAtFirst
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.step(ctx)
 		if err == nil {
-			pause = retryAtFirst
+			pause = membership.RetryAtFirst
 			f.wait(ctx)
 			continue
 		}
@@ -107,7 +56,7 @@
 		f.missed(err)
 		// A read fails sooner than a feed, which the store may hold for long.
 		f.read = false
-		longest := longestPause(f.instances(), time.Since(began))
+		longest := membership.RetryPause(f.instances(), time.Since(began))
 		select {
 		case <-ctx.Done():
 		case <-time.After(min(pause, longest)):
@@ -123,7 +72,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(gatherTime(f.instances())):
+	case <-time.After(membership.GatherTime(f.instances())):
 	}
 }
 
@@ -139,7 +88,7 @@
 		f.version, f.read, f.changed = all.Version, true, false
 		return nil
 	}
-	changes, err := f.store.Feed(ctx, f.table, f.version, feedWait(f.instances()))
+	changes, err := f.store.Feed(ctx, f.table, f.version, membership.FeedWait(f.instances()))
 	if err != nil {
 		return err
 	}
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -10,6 +10,7 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/roster"
 )
 
@@ -37,21 +38,13 @@
 			t.Fatalf("%d of %d endpoints are listed", len(d.View().All()), changes)
 		}
 	}
-	// All instances together may make feedsPerSecond calls; the first read and feed and the last feed come on top.
-	share := time.Since(began).Seconds() * feedsPerSecond / instances
+	// The first read and feed and the last feed come on top.
+	share := time.Since(began).Seconds() / membership.GatherTime(instances).Seconds()
 	if calls := store.Calls(); float64(calls) > share+3 {
 		t.Errorf("%d changes within %v cost an instance %d calls, its share is %.1f", changes, time.Since(began), calls, share)
 	}
 }
 
-func TestChangesGatherForAFractionOfTheBounds(t *testing.T) {
-	for instances, want := range map[int]time.Duration{1: 6250 * time.Microsecond, 8: 50 * time.Millisecond, 80: 500 * time.Millisecond, 400: 500 * time.Millisecond} {
-		if got := gatherTime(instances); got != want {
-			t.Errorf("%d instances gather for %v, want %v", instances, got, want)
-		}
-	}
-}
-
 // TestStoreThatTurnsAwayGetsFewCalls is an outage of a large deployment's store, which refuses each call at once.
 func TestStoreThatTurnsAwayGetsFewCalls(t *testing.T) {
 	const instances, outage = 80, 4 * time.Second
@@ -63,31 +56,9 @@
 	alive := func() int { return instances }
 	go followReplicas(client, roster.NewDirectory(), alive, newLogger(io.Discard, "error", "i")).run(ctx)
 	<-time.After(outage)
-	// The pauses double from retryAtFirst to the longest: five calls come before that.
-	share := outage.Seconds() * retriesPerSecond / instances
+	// The pauses double from the first to the longest: five calls come before that.
+	share := outage.Seconds() / membership.RetryPause(instances, 0).Seconds()
 	if calls := store.Calls(); float64(calls) > share+5 {
 		t.Errorf("an instance made %d calls within %v, its share is %.1f", calls, outage, share)
 	}
 }
-
-func TestPausesLeaveTimeToNoticeTheStoresReturn(t *testing.T) {
-	for instances, want := range map[int]time.Duration{8: retryAtMost, 50: 500 * time.Millisecond, 400: turnedAwayAtMost} {
-		if got := longestPause(instances, 10*time.Millisecond); got != want {
-			t.Errorf("%d instances that are turned away pause for %v, want %v", instances, got, want)
-		}
-		if got := longestPause(instances, 700*time.Millisecond); got != retryAtMost {
-			t.Errorf("%d instances that wait in vain pause for %v", instances, got)
-		}
-	}
-	if turnedAwayAtMost+roster.LapseGrace >= contact {
-		t.Error("lapsed entries are dropped after the instance counts as in touch")
-	}
-}
-
-func TestFeedsWaitLongerTheMoreInstancesThereAre(t *testing.T) {
-	for instances, want := range map[int]time.Duration{8: feedWaitAtLeast, 56: 7 * time.Second, 400: feedWaitAtMost} {
-		if got := feedWait(instances); got != want {
-			t.Errorf("%d instances let the store hold a feed for %v, want %v", instances, got, want)
-		}
-	}
-}
--- a/router/peers.go
+++ b/router/peers.go
@@ -47,8 +47,8 @@
 	board    *peerload.Board
 	handoffs *metering.Handoffs
 	logger   *log.Logger
-	closed   context.Context
-	stop     context.CancelFunc
+	// stop ends the goroutines.
+	stop context.CancelFunc
 
 	mu sync.Mutex
 	// listed are the addresses that the store lists.
@@ -65,10 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{self: self, conn: conn, reporter: reporter, board: board, handoffs: handoffs, logger: logger}
-	p.closed, p.stop = context.WithCancel(context.Background())
-	go p.take(p.closed)
-	go p.send(p.closed)
+	ctx, stop := context.WithCancel(context.Background())
+	p := &peers{self: self, conn: conn, reporter: reporter, board: board, handoffs: handoffs, logger: logger, stop: stop}
+	go p.take(ctx)
+	go p.send(ctx)
 	return p, nil
 }
 
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -1,4 +1,5 @@
-// Package membership counts the instances that are alive, by rows that each keeps fresh in the store.
+// Package membership counts the instances that are alive, by rows that each keeps fresh in the store, and paces what all of them do
+// by their number.
 package membership
 
 import (
