--- a/router/duties.go
+++ b/router/duties.go
@@ -31,6 +31,9 @@
 	holderSilence = 1500 * time.Millisecond
 	// settleParts is how many tenths of the time until a report is due the counts of a window are waited for.
 	settleParts = 7
+	// goneSettles is after how many such waits without a write an instance counts as gone: one that was cut off for as long as two
+	// usage windows still writes in time.
+	goneSettles = 2
 	// scaleAgain is how often an order of endpoints is repeated while fewer are listed than wanted.
 	scaleAgain = 3 * time.Second
 	// stageAgain is how long an engine has to show the stage it was ordered to before the order is repeated.
@@ -82,8 +85,8 @@
 		scalers:   map[wire.ServiceName]*fleet.Scaler{},
 		staged:    map[roster.Key]time.Time{},
 	}
-	// An instance that was silent for as long as a report may take could add nothing to a report that is in time.
-	usage := metering.Bounds{Settle: bounds.UsageDue * settleParts / 10, Gone: bounds.UsageDue}
+	settle := bounds.UsageDue * settleParts / 10
+	usage := metering.Bounds{Settle: settle, Gone: goneSettles * settle}
 	x.reporter = metering.NewReporter(p.store, keeper, x, p.counter, usage, metering.WithLate(x.usageLate))
 	return x
 }
