Let hand-offs grow old by the agreed time

Cause, found by reading: a hand-off's arrival was noted by the time of day and its age taken by the agreed time; on an instance whose time of day is off by more than seconds it was never written, or dropped at once.

--- a/router/peers.go
+++ b/router/peers.go
@@ -46,7 +46,9 @@
 	reporter *peerload.Reporter
 	board    *peerload.Board
 	handoffs *metering.Handoffs
-	logger   *log.Logger
+	// agreed returns the agreed time, by which hand-offs grow old.
+	agreed func() time.Time
+	logger *log.Logger
 	// stop ends the goroutines.
 	stop context.CancelFunc
 
@@ -56,7 +58,7 @@
 }
 
 // newPeers listens at an address and exchanges reports until it is closed.
-func newPeers(self lease.Identity, address string, reporter *peerload.Reporter, board *peerload.Board, handoffs *metering.Handoffs, logger *log.Logger) (*peers, error) {
+func newPeers(self lease.Identity, address string, reporter *peerload.Reporter, board *peerload.Board, handoffs *metering.Handoffs, agreed func() time.Time, logger *log.Logger) (*peers, error) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
@@ -66,7 +68,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &peers{self: self, conn: conn, reporter: reporter, board: board, handoffs: handoffs, logger: logger, stop: stop}
+	p := &peers{self: self, conn: conn, reporter: reporter, board: board, handoffs: handoffs, agreed: agreed, logger: logger, stop: stop}
 	go p.take(ctx)
 	go p.send(ctx)
 	return p, nil
@@ -113,7 +115,7 @@
 			p.board.Take(*m.Report, time.Now())
 		}
 		if m.Handoff != nil {
-			p.handoffs.Take(*m.Handoff, time.Now())
+			p.handoffs.Take(*m.Handoff, p.agreed())
 		}
 	}
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -101,7 +101,7 @@
 	// SIGHUP is taken until the process ends; by default it would end it.
 	signal.Notify(n.hup, syscall.SIGHUP)
 	var err error
-	if n.peers, err = newPeers(n.self, s.PeerAddress, n.reports, n.board, n.handoffs, n.logger); err != nil {
+	if n.peers, err = newPeers(n.self, s.PeerAddress, n.reports, n.board, n.handoffs, n.agreed.Now, n.logger); err != nil {
 		return err
 	}
 	defer n.peers.close()
--- a/serving/metering/handoff.go
+++ b/serving/metering/handoff.go
@@ -73,6 +73,7 @@
 	held map[string]*heldHandoff
 }
 
+// heldHandoff is a hand-off and the agreed time at which it came.
 type heldHandoff struct {
 	Handoff
 	taken time.Time
@@ -83,7 +84,7 @@
 	return &Handoffs{self: self, held: map[string]*heldHandoff{}}
 }
 
-// Take keeps a hand-off instead of an older one of the same counts, or drops what it withdraws.
+// Take keeps a hand-off instead of an older one of the same counts, or drops what it withdraws; now is the agreed time, as in Write.
 func (h *Handoffs) Take(x Handoff, now time.Time) {
 	if x.Incarnation == h.self {
 		return
