--- a/router/logger_test.go
+++ b/router/logger_test.go
@@ -6,26 +6,36 @@
 	"time"
 )
 
-// blocked is an output that nobody reads.
-type blocked struct{ release chan struct{} }
+// blocked is an output that nobody reads. It tells when a write has begun.
+type blocked struct{ began, release chan struct{} }
 
 func (b blocked) Write(p []byte) (int, error) {
+	select {
+	case b.began <- struct{}{}:
+	default:
+	}
 	<-b.release
 	return len(p), nil
 }
 
 // TestLogNeverBlocksAndSaysWhatItDropped writes more lines than are kept to an output that nobody reads.
 func TestLogNeverBlocksAndSaysWhatItDropped(t *testing.T) {
-	b := blocked{release: make(chan struct{})}
-	l := &lines{queue: make(chan []byte, 2)}
+	const queued, written = 2, 10
+	b := blocked{began: make(chan struct{}, 1), release: make(chan struct{})}
+	l := &lines{queue: make(chan []byte, queued)}
 	go l.write(b)
+	line := func() {
+		if n, err := l.Write([]byte("line\n")); n != 5 || err != nil {
+			t.Errorf("got %d, %v", n, err)
+		}
+	}
+	line()
+	<-b.began
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for range 10 {
-			if n, err := l.Write([]byte("line\n")); n != 5 || err != nil {
-				t.Errorf("got %d, %v", n, err)
-			}
+		for range written {
+			line()
 		}
 	}()
 	select {
@@ -33,7 +43,7 @@
 	case <-time.After(within):
 		t.Fatal("the log blocks")
 	}
-	if n := l.dropped.Load(); n < 7 {
+	if n := l.dropped.Load(); n != written-queued {
 		t.Errorf("%d lines count as dropped", n)
 	}
 	close(b.release)
