Set the bounds of the retry budgets in one place

The relay and the budget take both at once, the share is asked with the slack, and one function gives the budgets what the settings say. Ruled out: leaving it to the next look (a reload is in force at once, as before). Tests keep their assertions; their calls have the new names.

--- a/router/reload.go
+++ b/router/reload.go
@@ -44,8 +44,7 @@
 	}
 	atStart, live := n.settings.Load().Changed(s)
 	n.settings.Store(s)
-	n.share.SetSlack(s.Bounds.RetrySlack)
-	n.relay.SetRatio(s.Bounds.RetryRatio)
+	n.setBudget()
 	n.logger.Info().Str("Reason", reason).Str("File", n.file.path).Strs("InForce", slices.Sorted(slices.Values(live))).
 		Strs("AtNextStart", slices.Sorted(slices.Values(atStart))).Msg("Reloaded")
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -76,7 +76,7 @@
 		agreed:    truetime.New(bootClock{}.Monotonic, time.Now),
 		pool:      link.NewPool[roster.Key](clock, link.DialEndpoint),
 		idle:      newIdleConns(),
-		share:     retry.NewShare(s.Bounds.RetryWindow, s.Bounds.RetrySlack, clock.Now()),
+		share:     retry.NewShare(s.Bounds.RetryWindow, clock.Now()),
 		failed:    make(chan error, listeners),
 		hup:       make(chan os.Signal, 1),
 	}
@@ -216,7 +216,13 @@
 	if limit := n.front.limits().IdleTimeout; limit > 0 {
 		n.idle.closeOlder(limit)
 	}
-	n.relay.SetSlack(n.share.Slack(time.Now(), n.instances()))
+	n.setBudget()
+}
+
+// setBudget gives the retry budgets the bounds of the newest settings and the instance's share of the slack.
+func (n *node) setBudget() {
+	bounds := n.settings.Load().Bounds
+	n.relay.SetBudget(bounds.RetryRatio, n.share.Slack(bounds.RetrySlack, time.Now(), n.instances()))
 }
 
 // stop waits until the platform has noticed that the instance is not ready, and then until open requests have ended.
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -210,9 +210,12 @@
 	plain   wire.ServiceName = "plain"
 )
 
+// budgetRatio is how many sends beyond the first these tests allow for each request.
+const budgetRatio = 0.2
+
 func newWorld(next func(a *relay.Attempt) deed) *world {
 	w := &world{fleet: &fleet{next: next}, meter: &nobody{}, directory: roster.NewDirectory()}
-	bounds := relay.BudgetBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}
+	bounds := relay.BudgetBounds{Window: 10 * time.Second, Ratio: budgetRatio, Slack: 100}
 	w.relay = relay.New(w.directory, w.fleet, w.meter, w.meter, clockwork.NewRealClock(), "a", bounds)
 	for i := range 4 {
 		for service, stage := range map[wire.ServiceName][]roster.Stage{plain: {roster.NoStage}, engines: {roster.Prefill, roster.Decode}} {
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -138,23 +138,14 @@
 	return b
 }
 
-// SetSlack changes this instance's part of the slack that all instances' retry budgets have together.
-func (r *Relay) SetSlack(slack float64) {
+// SetBudget changes how many sends beyond the first the retry budgets allow for each request, and this instance's part of the slack
+// that all instances' budgets have together.
+func (r *Relay) SetBudget(ratio, slack float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.bounds.Slack = slack
+	r.bounds.Ratio, r.bounds.Slack = ratio, slack
 	for _, b := range r.budgets {
-		b.SetSlack(slack)
-	}
-}
-
-// SetRatio changes how many sends beyond the first the retry budgets allow for each request.
-func (r *Relay) SetRatio(ratio float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.bounds.Ratio = ratio
-	for _, b := range r.budgets {
-		b.SetRatio(ratio)
+		b.SetBounds(ratio, slack)
 	}
 }
 
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -219,7 +219,7 @@
 
 func TestSpentBudgetEndsRetries(t *testing.T) {
 	w := newWorld(always(full))
-	w.relay.SetSlack(0)
+	w.relay.SetBudget(budgetRatio, 0)
 	c := w.ask(t, "/again/")
 	if c.refusal == nil || c.refusal.Verdict != relay.NotRun || w.fleet.sends != 1 {
 		t.Errorf("got %+v after %d sends", c.refusal, w.fleet.sends)
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -31,18 +31,11 @@
 	return &Budget{bucket: window / (buckets - 1), ratio: ratio, slack: slack}
 }
 
-// SetSlack changes this instance's share of the slack, as instances come and go.
-func (b *Budget) SetSlack(slack float64) {
+// SetBounds changes the ratio of the requests, and this instance's share of the slack, as instances come and go.
+func (b *Budget) SetBounds(ratio, slack float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slack = slack
-}
-
-// SetRatio changes the ratio of the requests.
-func (b *Budget) SetRatio(ratio float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ratio = ratio
+	b.ratio, b.slack = ratio, slack
 }
 
 // Request counts a request of a client.
--- a/serving/retry/budget_test.go
+++ b/serving/retry/budget_test.go
@@ -93,7 +93,7 @@
 	if b.Extra(now) {
 		t.Error("an empty budget gave a send")
 	}
-	b.SetSlack(1)
+	b.SetBounds(ratio, 1)
 	if !b.Extra(now) {
 		t.Error("the new slack gave no send")
 	}
--- a/serving/retry/share.go
+++ b/serving/retry/share.go
@@ -10,7 +10,6 @@
 // window while instances start, stop and die. It is for one goroutine.
 type Share struct {
 	window  time.Duration
-	slack   float64
 	started time.Time
 	// counts are how many instances were alive in the last window, by when it was seen.
 	counts []count
@@ -22,19 +21,14 @@
 }
 
 // NewShare returns the share of an instance that starts now.
-func NewShare(window time.Duration, slack float64, now time.Time) *Share {
-	return &Share{window: window, slack: slack, started: now}
+func NewShare(window time.Duration, now time.Time) *Share {
+	return &Share{window: window, started: now}
 }
 
-// SetSlack changes what all instances have together.
-func (s *Share) SetSlack(slack float64) {
-	s.slack = slack
-}
-
-// Slack returns this instance's part, given how many instances are alive with this one. It is nothing until the others
+// Slack returns this instance's part of the slack of all, given how many instances are alive with this one. It is nothing until the others
 // have known of a new instance for a window: it may have spent a part before it was restarted, and they a larger one. It grows
 // only a window after others have gone, as what they spent counts for as long.
-func (s *Share) Slack(now time.Time, alive int) float64 {
+func (s *Share) Slack(slack float64, now time.Time, alive int) float64 {
 	kept := s.counts[:0]
 	most := max(alive, 1)
 	for _, c := range s.counts {
@@ -47,5 +41,5 @@
 	if now.Sub(s.started) < noticeTime+s.window+s.window/buckets {
 		return 0
 	}
-	return s.slack / float64(most)
+	return slack / float64(most)
 }
--- a/serving/retry/share_test.go
+++ b/serving/retry/share_test.go
@@ -27,7 +27,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1e9, 0)
 		begin := func() *process {
-			return &process{started: now, share: retry.NewShare(window, slack, now), budget: retry.NewBudget(window, ratio, 0)}
+			return &process{started: now, share: retry.NewShare(window, now), budget: retry.NewBudget(window, ratio, 0)}
 		}
 		var alive []*process
 		for range rapid.IntRange(1, 5).Draw(t, "instances") {
@@ -53,7 +53,7 @@
 						known++
 					}
 				}
-				p.budget.SetSlack(p.share.Slack(now, known))
+				p.budget.SetBounds(ratio, p.share.Slack(slack, now, known))
 				for p.budget.Extra(now) {
 					events = append(events, event{at: now, extra: true})
 				}
@@ -67,21 +67,21 @@
 
 func TestShareIsUsedOnceItIsSafe(t *testing.T) {
 	now := time.Unix(1e9, 0)
-	s := retry.NewShare(window, slack, now)
-	if got := s.Slack(now, 4); got != 0 {
+	s := retry.NewShare(window, now)
+	if got := s.Slack(slack, now, 4); got != 0 {
 		t.Errorf("a new instance has %v", got)
 	}
 	now = now.Add(14 * time.Second)
-	if got := s.Slack(now, 4); got != slack/4 {
+	if got := s.Slack(slack, now, 4); got != slack/4 {
 		t.Errorf("with 4 alive: %v", got)
 	}
-	if got := s.Slack(now, 8); got != slack/8 {
+	if got := s.Slack(slack, now, 8); got != slack/8 {
 		t.Errorf("with 8 alive: %v", got)
 	}
-	if got := s.Slack(now.Add(5*time.Second), 4); got != slack/8 {
+	if got := s.Slack(slack, now.Add(5*time.Second), 4); got != slack/8 {
 		t.Errorf("soon after 4 have gone: %v", got)
 	}
-	if got := s.Slack(now.Add(20*time.Second), 4); got != slack/4 {
+	if got := s.Slack(slack, now.Add(20*time.Second), 4); got != slack/4 {
 		t.Errorf("long after 4 have gone: %v", got)
 	}
 }
