Use one function for the intervals that grow with the instances

Cause, found by reading: the backoff, the delay between feeds, the wait of a feed and the interval of usage writes each divided a rate among the instances within bounds, and the last one stood in the router. Names and comments use the usual terms: backoff, batch, rejected, timed out, check of a lease.

--- a/router/duties.go
+++ b/router/duties.go
@@ -112,7 +112,7 @@
 
 func (x *duties) step(ctx context.Context) {
 	now := time.Now()
-	if x.holds || x.standby.Looks(x.board.Place(), x.board.HolderHeard(now, holderSilence), now) {
+	if x.holds || x.standby.Due(x.board.Place(), x.board.HolderHeard(now, holderSilence), now) {
 		if err := x.keeper.Step(ctx); err != nil {
 			x.standby.Failed(now)
 			x.logger.Warn().Str("Lease", string(dutyLease)).Err(err).Msg("LeaseStepFailed")
--- a/router/follower.go
+++ b/router/follower.go
@@ -35,12 +35,12 @@
 
 // run follows the table until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	pause := membership.RetryAtFirst
+	backoff := membership.FirstBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.step(ctx)
 		if err == nil {
-			pause = membership.RetryAtFirst
+			backoff = membership.FirstBackoff
 			f.wait(ctx)
 			continue
 		}
@@ -56,23 +56,23 @@
 		f.missed(err)
 		// A read fails sooner than a feed, which the store may hold for long.
 		f.read = false
-		longest := membership.RetryPause(f.instances(), time.Since(began))
+		longest := membership.MaxBackoff(f.instances(), time.Since(began))
 		select {
 		case <-ctx.Done():
-		case <-time.After(min(pause, longest)):
+		case <-time.After(min(backoff, longest)):
 		}
-		pause = min(2*pause, longest)
+		backoff = min(2*backoff, longest)
 	}
 }
 
-// wait lets changes gather after some came.
+// wait batches further changes after some came.
 func (f *follower) wait(ctx context.Context) {
 	if !f.changed {
 		return
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(membership.GatherTime(f.instances())):
+	case <-time.After(membership.BatchDelay(f.instances())):
 	}
 }
 
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -39,14 +39,14 @@
 		}
 	}
 	// The first read and feed and the last feed come on top.
-	share := time.Since(began).Seconds() / membership.GatherTime(instances).Seconds()
+	share := time.Since(began).Seconds() / membership.BatchDelay(instances).Seconds()
 	if calls := store.Calls(); float64(calls) > share+3 {
 		t.Errorf("%d changes within %v cost an instance %d calls, its share is %.1f", changes, time.Since(began), calls, share)
 	}
 }
 
-// TestStoreThatTurnsAwayGetsFewCalls is an outage of a large deployment's store, which refuses each call at once.
-func TestStoreThatTurnsAwayGetsFewCalls(t *testing.T) {
+// TestStoreThatRejectsCallsGetsFew is an outage of a large deployment's store, which refuses each call at once.
+func TestStoreThatRejectsCallsGetsFew(t *testing.T) {
 	const instances, outage = 80, 4 * time.Second
 	store := platformtest.NewStore(t)
 	store.Fail(http.StatusServiceUnavailable)
@@ -56,8 +56,8 @@
 	alive := func() int { return instances }
 	go followReplicas(client, roster.NewDirectory(), alive, newLogger(io.Discard, "error", "i")).run(ctx)
 	<-time.After(outage)
-	// The pauses double from the first to the longest: five calls come before that.
-	share := outage.Seconds() / membership.RetryPause(instances, 0).Seconds()
+	// The backoff doubles from the first to the longest: five calls come before that.
+	share := outage.Seconds() / membership.MaxBackoff(instances, 0).Seconds()
 	if calls := store.Calls(); float64(calls) > share+5 {
 		t.Errorf("an instance made %d calls within %v, its share is %.1f", calls, outage, share)
 	}
--- a/router/usage.go
+++ b/router/usage.go
@@ -5,21 +5,14 @@
 	"time"
 
 	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/truetime"
 	"github.com/phuslu/log"
 )
 
-// Times of writing usage.
-const (
-	// writeEvery is how often counts go to the store. A kill loses what was counted since. The more instances there are, the
-	// less one loses, and the less often each writes: writePerInstance for each, up to writeAtMost, which is under a window.
-	writeEvery       = time.Second
-	writePerInstance = 100 * time.Millisecond
-	writeAtMost      = 4 * time.Second
-	// forgetAfter is how long counts stay in memory after they were written.
-	forgetAfter = 30 * time.Second
-)
+// forgetAfter is how long counts stay in memory after they were written.
+const forgetAfter = 30 * time.Second
 
 // usageWriter keeps the store's counts of this incarnation up to date.
 type usageWriter struct {
@@ -44,7 +37,7 @@
 		case <-timer.C:
 		}
 		u.step(ctx)
-		timer.Reset(min(max(writeEvery, time.Duration(u.instances())*writePerInstance), writeAtMost))
+		timer.Reset(membership.UsageWriteInterval(u.instances()))
 	}
 }
 
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -1,4 +1,4 @@
-// Package membership counts the instances that are alive, by rows that each keeps fresh in the store, and paces what all of them do
+// Package membership counts the instances that are alive, by rows that each keeps fresh in the store, and spaces what all of them do
 // by their number.
 package membership
 
--- a/serving/membership/standby_test.go
+++ b/serving/membership/standby_test.go
@@ -14,7 +14,7 @@
 	first = -1
 	for t := time.Duration(0); t < length; t += 500 * time.Millisecond {
 		for place := range list {
-			if !list[place].Looks(place, heard(t), start.Add(t)) {
+			if !list[place].Due(place, heard(t), start.Add(t)) {
 				continue
 			}
 			n++
@@ -51,7 +51,7 @@
 func TestEveryInstanceLooksInTheEnd(t *testing.T) {
 	s := membership.Standby{}
 	start := time.Unix(1e9, 0)
-	for wait := time.Duration(0); !s.Looks(80, false, start.Add(wait)); wait += 500 * time.Millisecond {
+	for wait := time.Duration(0); !s.Due(80, false, start.Add(wait)); wait += 500 * time.Millisecond {
 		if wait > 10*time.Second {
 			t.Fatal("the last of 81 instances does not look within 10 s")
 		}
@@ -65,7 +65,7 @@
 	n := 0
 	for wait := time.Duration(0); wait < 10*time.Second; wait += 500 * time.Millisecond {
 		for place := range list {
-			if list[place].Looks(place, false, start.Add(wait)) {
+			if list[place].Due(place, false, start.Add(wait)) {
 				list[place].Failed(start.Add(wait))
 				n++
 			}
