Add up reports without keeping what changed

Cause, found by reading: the board noted the changed endpoints in a map that one of its two callers did not want. The two reports name them already; telling an endpoint twice changes nothing, and a report costs fewer allocations. The fuzzed oracle and the cost test are as they were.

--- a/router/logger.go
+++ b/router/logger.go
@@ -113,7 +113,7 @@
 	d.logger.Info().Str("Dependency", "Domain").Str("Domain", string(name)).Msg("DependencyRegained")
 }
 
-// suspected writes a line for an endpoint that is left alone, or no longer is, as peers do.
-func (d decisions) suspected(e *roster.Endpoint, paused int, suspected bool) {
-	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", paused).Bool("LeftAlone", suspected).Msg("EndpointSuspected")
+// suspected writes a line for an endpoint that is avoided, or no longer is, because peers do.
+func (d decisions) suspected(e *roster.Endpoint, peers int, avoided bool) {
+	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", peers).Bool("Avoided", avoided).Msg("EndpointSuspected")
 }
--- a/serving/peerload/board.go
+++ b/serving/peerload/board.go
@@ -26,19 +26,19 @@
 
 	mu    sync.Mutex
 	peers map[wire.InstanceName]*peer
-	// sums are what the peers have under way at each endpoint, and how many of them leave it alone. They are kept up to date
+	// sums are what the peers have under way at each endpoint, and how many of them avoid it. They are kept up to date
 	// with each report: with many instances and endpoints, adding everything up each time would cost most of an instance's
 	// processor time.
 	sums map[wire.EndpointId]*endpointSum
-	// suspected is told when an endpoint comes to be left alone or no longer is, as so many peers leave it alone.
-	suspected func(e *roster.Endpoint, peers int, leftAlone bool)
+	// suspected is told when this instance begins or ceases to avoid an endpoint because so many peers do.
+	suspected func(e *roster.Endpoint, peers int, avoided bool)
 }
 
 // BoardOption changes a board.
 type BoardOption func(*Board)
 
-// WithSuspected sets what is told when an endpoint comes to be left alone, or no longer is, as so many peers leave it alone.
-func WithSuspected(suspected func(e *roster.Endpoint, peers int, leftAlone bool)) BoardOption {
+// WithSuspected sets what is told when this instance begins or ceases to avoid an endpoint because so many peers do.
+func WithSuspected(suspected func(e *roster.Endpoint, peers int, avoided bool)) BoardOption {
 	return func(b *Board) {
 		b.suspected = suspected
 	}
@@ -92,17 +92,13 @@
 		}
 	}
 	r.Uses, r.Changes = nil, nil
-	changed := map[wire.EndpointId]bool{}
-	if known {
-		b.add(p.report, -1, changed)
-	}
-	b.add(r, 1, changed)
 	b.peers[r.From] = &peer{report: r, at: now}
-	for id := range changed {
-		if e, listed := all[id]; listed {
-			b.tell(e)
-		}
+	b.add(r, 1)
+	if known {
+		b.add(p.report, -1)
+		b.tellNamed(p.report, all)
 	}
+	b.tellNamed(r, all)
 }
 
 // Expire drops the loads of peers that have fallen silent.
@@ -111,7 +107,7 @@
 	defer b.mu.Unlock()
 	for name, p := range b.peers {
 		if now.Sub(p.at) > silence {
-			b.add(p.report, -1, nil)
+			b.add(p.report, -1)
 			delete(b.peers, name)
 		}
 	}
@@ -160,30 +156,41 @@
 	return list
 }
 
-// add adds a report to the sums, or takes it off with sign -1, and notes the endpoints in changed unless that is nil.
-func (b *Board) add(r Report, sign int, changed map[wire.EndpointId]bool) {
+// add adds a report to the sums, or takes it off with sign -1.
+func (b *Board) add(r Report, sign int) {
 	for _, l := range r.Loads {
-		s := b.sumOf(l.Endpoint, changed)
+		s := b.sumOf(l.Endpoint)
 		s.prefill += sign * max(l.Prefill, 0)
 		s.inFlight += sign * max(l.InFlight, 0)
 	}
 	for _, id := range r.Paused {
-		b.sumOf(id, changed).paused += sign
+		b.sumOf(id).paused += sign
 	}
 }
 
-func (b *Board) sumOf(id wire.EndpointId, changed map[wire.EndpointId]bool) *endpointSum {
+func (b *Board) sumOf(id wire.EndpointId) *endpointSum {
 	s, known := b.sums[id]
 	if !known {
 		s = &endpointSum{}
 		b.sums[id] = s
 	}
-	if changed != nil {
-		changed[id] = true
-	}
 	return s
 }
 
+// tellNamed gives the endpoints that a report names what the peers have under way there.
+func (b *Board) tellNamed(r Report, all map[wire.EndpointId]*roster.Endpoint) {
+	for _, l := range r.Loads {
+		if e, listed := all[l.Endpoint]; listed {
+			b.tell(e)
+		}
+	}
+	for _, id := range r.Paused {
+		if e, listed := all[id]; listed {
+			b.tell(e)
+		}
+	}
+}
+
 // tell gives an endpoint what the peers have under way there.
 func (b *Board) tell(e *roster.Endpoint) {
 	id := e.Entry().ID
@@ -191,8 +198,8 @@
 	if !known {
 		s = &endpointSum{}
 	}
-	if leftAlone := s.paused >= accusers; e.SetSuspected(leftAlone) {
-		b.suspected(e, s.paused, leftAlone)
+	if avoided := s.paused >= accusers; e.SetSuspected(avoided) {
+		b.suspected(e, s.paused, avoided)
 	}
 	e.SetPeers(s.prefill, s.inFlight)
 }
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -37,7 +37,7 @@
 	source *Source
 	// waiting and unread are what the last choice of an engine went by.
 	waiting, unreadThere int
-	// pause is how long the endpoint that failed last is left alone, until that is logged.
+	// pause is how long the endpoint that failed last is avoided, until that is logged.
 	pause time.Duration
 	// begun tells that the caller has the head of a stream, lastEvent the last event's id.
 	begun     bool
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -22,7 +22,7 @@
 // Observer is told of each decision on a request, and of failure domains that are lost and regained.
 type Observer interface {
 	Decided(d Decision)
-	// DomainCut tells that a failure domain is left alone for a pause, as its endpoints are out of reach.
+	// DomainCut tells that a failure domain is avoided for a pause, as its endpoints are out of reach.
 	DomainCut(d wire.DomainName, pause time.Duration)
 	// DomainReached tells that an endpoint of such a domain has answered.
 	DomainReached(d wire.DomainName)
@@ -44,7 +44,7 @@
 	// Waiting and Unread are the tokens that waited at the endpoint when it was chosen, and those of this prompt that it was
 	// thought to have to read.
 	Waiting, Unread int
-	// Pause is for how long the endpoint is left alone from now on; 0 changes nothing.
+	// Pause is for how long the endpoint is avoided from now on; 0 changes nothing.
 	Pause  time.Duration
 	Status int
 	Reason string
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -240,7 +240,7 @@
 	}
 }
 
-// TestChangesOfBeliefAreTold holds that an engineer can see from the log since when an endpoint or a failure domain is left alone.
+// TestChangesOfBeliefAreTold holds that an engineer can see from the log since when an endpoint or a failure domain is avoided.
 func TestChangesOfBeliefAreTold(t *testing.T) {
 	d := deed(unreachable)
 	w := newWorld(func(*relay.Attempt) deed { return d })
