Hand counts off only after a write has failed

Cause, found by reading: each write, also one that the store took, was followed by copies of what had been counted while it was under way, and by a withdrawal a second later. Copies go out after a failed write only, as the design says; withdrawals go out after each. Ruled out: copies as a guard against kills between writes (they held only what came within one call). Test: TestCountsThatRiseWhileTheyAreWrittenAreNotHandedOff, red before.

--- a/serving/metering/handoff.go
+++ b/serving/metering/handoff.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -43,8 +44,29 @@
 	return Handoff{Instance: h.Instance, Incarnation: h.Incarnation, Window: h.Window, Made: h.Made}
 }
 
-// HandOff returns copies of the counts that are not written, and withdraws those of windows that are by now.
+// HandOff returns copies of the counts that are not written. An instance that stops makes them final.
 func (c *Counter) HandOff(instance wire.InstanceName, incarnation wire.IncarnationId, final bool) []Handoff {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	made := c.now().UnixMilli()
+	var list []Handoff
+	for w := range c.dirty {
+		list = append(list, Handoff{
+			Instance:    instance,
+			Incarnation: incarnation,
+			Window:      w,
+			Counts:      maps.Clone(c.windows[w]),
+			Revision:    c.revisions[w],
+			Made:        made,
+			Final:       final,
+		})
+		c.handedOff[w] = true
+	}
+	return list
+}
+
+// Withdraw withdraws the copies of windows that are written by now.
+func (c *Counter) Withdraw(instance wire.InstanceName, incarnation wire.IncarnationId) []Handoff {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	made := c.now().UnixMilli()
@@ -55,12 +77,6 @@
 			delete(c.handedOff, w)
 		}
 	}
-	for w := range c.dirty {
-		h := Handoff{Instance: instance, Incarnation: incarnation, Window: w, Counts: Counts{}, Revision: c.revisions[w], Made: made, Final: final}
-		h.Counts.Add(c.windows[w])
-		list = append(list, h)
-		c.handedOff[w] = true
-	}
 	return list
 }
 
--- a/serving/metering/handoff_test.go
+++ b/serving/metering/handoff_test.go
@@ -136,3 +136,32 @@
 		})
 	}
 }
+
+// copies are the hand-offs that an instance gave to its peers.
+type copies struct{ list []metering.Handoff }
+
+func (c *copies) HandOff(list []metering.Handoff) { c.list = append(c.list, list...) }
+
+// TestCountsThatRiseWhileTheyAreWrittenAreNotHandedOff is a store that takes writes: peers need no copies then.
+func TestCountsThatRiseWhileTheyAreWrittenAreNotHandedOff(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	table, given := tabletest.New(), &copies{}
+	c := metering.NewCounter(length, func() time.Time { return now })
+	w := metering.NewWriter(table, c, metering.NewHandoffs("1"), given, "i", "1")
+	table.Delay = func() { c.Began("w") }
+	c.Began("w")
+	if _, err := w.Step(t.Context(), now); err != nil {
+		t.Fatal(err)
+	}
+	if len(given.list) > 0 {
+		t.Errorf("handed off %v", given.list)
+	}
+	table.Fault = func() tabletest.Fault { return tabletest.Refused }
+	if _, err := w.Step(t.Context(), now); err == nil || len(given.list) != 1 || len(given.list[0].Counts) == 0 {
+		t.Errorf("a refused write handed off %v: %v", given.list, err)
+	}
+	table.Fault, table.Delay = func() tabletest.Fault { return tabletest.None }, func() {}
+	if _, err := w.Step(t.Context(), now); err != nil || len(given.list) != 2 || len(given.list[1].Counts) > 0 {
+		t.Errorf("a write that succeeded withdrew %v: %v", given.list, err)
+	}
+}
--- a/serving/metering/writer.go
+++ b/serving/metering/writer.go
@@ -31,10 +31,13 @@
 // Step writes what has risen and returns the hand-offs of peers that it wrote. An error means that some is not written yet.
 func (w *Writer) Step(ctx context.Context, now time.Time) ([]Handoff, error) {
 	written, err := w.write(ctx, now)
-	list := w.counter.HandOff(w.instance, w.incarnation, false)
+	list := w.counter.Withdraw(w.instance, w.incarnation)
 	for _, x := range written {
 		list = append(list, x.withdrawn())
 	}
+	if err != nil {
+		list = append(list, w.counter.HandOff(w.instance, w.incarnation, false)...)
+	}
 	w.handOff(list)
 	return written, err
 }
