Remove all rows of counts of a reported window

Cause, found by reading: one transaction removed up to 60 rows; a window of more instances left the others behind, and the next one took them for counts that had come too late: false lines UsageNotReported on the grown sites. The rows are removed in as many transactions as it takes, before the window is marked: until then it is reported once more with the same counts. Ruled out: a higher bound (a call of the store holds 100 entries). Test: TestCountsOfManyInstancesAreNotFoundLate with 63 to 153 instances, red before.

--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -250,14 +250,19 @@
 	return r.platform.ReportUsage(ctx, epoch, row.Window, maps.Clone(row.Counts))
 }
 
-// markReported notes that the platform has a window, and removes what is no longer needed.
+// markReported notes that the platform has a window, and removes what is no longer needed: rows of counts that were left behind would
+// be taken for late ones.
 func (r *Reporter) markReported(ctx context.Context, f frozen) error {
 	f.row.Reported = true
 	var remove []wire.Write
 	for source := range f.row.Sources {
 		remove = append(remove, wire.Write{Table: CountTable, Key: sourceKey(f.row.Window, source), Delete: true})
 	}
-	remove = remove[:min(len(remove), maxRemoved)]
+	for ; len(remove) > maxRemoved; remove = remove[maxRemoved:] {
+		if _, err := r.fence.Transact(ctx, wire.TransactRequest{Writes: remove[:maxRemoved]}); err != nil {
+			return err
+		}
+	}
 	kept := append(r.kept, f.row.Window)
 	if len(kept) > keptWindows {
 		remove = append(remove, wire.Write{Table: WindowTable, Key: windowKey(kept[0]), Delete: true})
--- a/serving/metering/reporter_test.go
+++ b/serving/metering/reporter_test.go
@@ -248,3 +248,24 @@
 		}
 	})
 }
+
+// TestCountsOfManyInstancesAreNotFoundLate is a large deployment: its windows sum up more rows than one transaction removes.
+func TestCountsOfManyInstancesAreNotFoundLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newUsageModel(t)
+		m.calm = true
+		for range rapid.IntRange(60, 150).Draw(t, "more") {
+			m.instances = append(m.instances, m.start(len(m.instances)))
+		}
+		for range 3 {
+			for _, i := range m.instances {
+				m.began(i)
+			}
+			m.run(length)
+		}
+		m.run(2*length + settle)
+		if len(m.late) > 0 {
+			t.Errorf("counts %v of %d instances were found late", m.late, len(m.instances))
+		}
+	})
+}
