Drop the controller's name from the links, and what nothing reads

Cause, found by reading: the kind of a link's speaker was still Controller, a program that is gone; Endpoint.ChangingTo had no caller; a refresh of the members that failed was logged as one instance alive. The wire's Program has the value Duties, generated anew from the schema. Ruled out: telling duties from entries by the instance's name.

--- a/entry/domain/worker_test.go
+++ b/entry/domain/worker_test.go
@@ -170,7 +170,7 @@
 		t.Fatal(err)
 	}
 	w := domain.NewWorker(domain.Config{
-		Self:         wire.Hello{Instance: "c", Incarnation: "c1", Domain: "d", Program: wire.ProgramController},
+		Self:         wire.Hello{Instance: "c", Incarnation: "c1", Domain: "d", Program: wire.ProgramDuties},
 		Entries:      []domain.Entry{{Instance: "a", Address: entryAddress}},
 		Platform:     client,
 		Keeper:       keeper,
@@ -178,7 +178,7 @@
 		Poller:       domain.NewPoller(time.Second),
 		OrderTimeout: time.Second,
 		Clock:        clock,
-		Logger:       process.NewLogger(io.Discard, "error", "controller", "c"),
+		Logger:       process.NewLogger(io.Discard, "error", "entry", "c"),
 	})
 	defer http.DefaultTransport.(*http.Transport).CloseIdleConnections()
 	defer w.Close()
--- a/entry/duty/duties.go
+++ b/entry/duty/duties.go
@@ -101,7 +101,7 @@
 			Instance:    d.cfg.Instance + linkSuffix,
 			Incarnation: d.cfg.Incarnation,
 			Domain:      d.cfg.Domain,
-			Program:     wire.ProgramController,
+			Program:     wire.ProgramDuties,
 		},
 		PeerSecret:   d.cfg.PeerSecret,
 		Entries:      d.cfg.Entries,
--- a/entry/peer/endpoints.go
+++ b/entry/peer/endpoints.go
@@ -162,7 +162,7 @@
 	return versions, c.changed
 }
 
-// report tells the linked controllers this entry's load.
+// report tells the linked holders of leases this entry's load.
 func (c *Control) report() {
 	report := wire.EntryReport{
 		Instance:        c.self.Instance,
@@ -181,7 +181,7 @@
 		report.Queued = append(report.Queued, wire.QueueCount{Model: wire.ModelName(name), Requests: n})
 	}
 	for _, hello := range c.hub.Links() {
-		if hello.Program == wire.ProgramController {
+		if hello.Program == wire.ProgramDuties {
 			_ = channel.Send(c.hub, hello.Instance, TopicReport, report)
 		}
 	}
--- a/proof/capacity/entry_test.go
+++ b/proof/capacity/entry_test.go
@@ -126,7 +126,7 @@
 func (s *entrySettings) hold(b *testing.B, endpoints []wire.EndpointState) {
 	b.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	self := wire.Hello{Instance: "holder", Incarnation: "holder", Domain: domain, Program: wire.ProgramController, Epoch: 1}
+	self := wire.Hello{Instance: "holder", Incarnation: "holder", Domain: domain, Program: wire.ProgramDuties, Epoch: 1}
 	hub := channel.NewHub(self, control.NewLogger(io.Discard, "error", "bench", "holder"))
 	b.Cleanup(func() {
 		cancel()
--- a/proof/holder_test.go
+++ b/proof/holder_test.go
@@ -21,7 +21,7 @@
 // startHolder lists a domain's endpoints to its entries until the test ends.
 func startHolder(t testing.TB, s *system, domain string) *holder {
 	t.Helper()
-	self := wire.Hello{Instance: wire.InstanceName("holder-" + domain), Domain: wire.DomainName(domain), Program: wire.ProgramController, Epoch: 1}
+	self := wire.Hello{Instance: wire.InstanceName("holder-" + domain), Domain: wire.DomainName(domain), Program: wire.ProgramDuties, Epoch: 1}
 	h := &holder{
 		hub:    channel.NewHub(self, process.NewLogger(io.Discard, "error", "proof", "holder"), channel.WithSecret(peerSecret)),
 		states: wire.EndpointStates{Domain: wire.DomainName(domain), Epoch: 1, Sequence: 1},
--- a/router/members.go
+++ b/router/members.go
@@ -35,13 +35,13 @@
 		if err != nil {
 			logger.Warn().Err(err).Msg("MemberNotRefreshed")
 		}
-		alive := len(addresses) + 1
+		// A refresh that read no rows says nothing of the others.
 		if addresses != nil {
 			peers.setAddresses(addresses)
-		}
-		if alive != known {
-			logger.Info().Int("Alive", alive).Int("Before", known).Msg("Members")
-			known = alive
+			if alive := len(addresses) + 1; alive != known {
+				logger.Info().Int("Alive", alive).Int("Before", known).Msg("Members")
+				known = alive
+			}
 		}
 		timer.Reset(next)
 		next = membership.RefreshEvery
--- a/serving/roster/replica.go
+++ b/serving/roster/replica.go
@@ -96,14 +96,6 @@
 	e.away.Store(&away{to: to, until: until})
 }
 
-// ChangingTo returns the stage that the endpoint was ordered to, if the order may be under way at now.
-func (e *Endpoint) ChangingTo(now time.Time) (Stage, bool) {
-	if !e.isAway(now) {
-		return NoStage, false
-	}
-	return e.away.Load().to, true
-}
-
 func (e *Endpoint) isAway(now time.Time) bool {
 	a := e.away.Load()
 	return a != nil && now.Before(a.until) && e.Entry().Stage != a.to
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -702,7 +702,7 @@
 	Instances []InstanceRecord `json:"Instances"`
 }
 
-// InstanceName names an entry or controller instance.
+// InstanceName names an instance.
 type InstanceName string
 
 type InstancePhase string
@@ -767,7 +767,7 @@
 	LeftMillis int `json:"LeftMillis"`
 }
 
-// LeaseBeliefList lists a controller's beliefs.
+// LeaseBeliefList lists an instance's beliefs.
 type LeaseBeliefList struct {
 	// Leases corresponds to the JSON schema field "Leases".
 	Leases []LeaseBelief `json:"Leases"`
@@ -885,7 +885,7 @@
 
 type Program string
 
-const ProgramController Program = "Controller"
+const ProgramDuties Program = "Duties"
 const ProgramEntry Program = "Entry"
 
 // QueueCount counts an entry's queued requests and prompt tokens for one model.
