Do not keep fields of the configuration that nothing reads

Cause, found by reading: four fields were translated and never read or tested (whether a route is sticky, an endpoint's connections, an engine's memory and the time of a stage change). The adapter can translate them again when a decision needs them. Ruled out: the fields that tests hold.

--- a/serving/route/route.go
+++ b/serving/route/route.go
@@ -50,8 +50,6 @@
 	MaxAttempts int
 	// Public routes need no key.
 	Public bool
-	// Sticky routes carry prompts of which endpoints keep parts.
-	Sticky bool
 }
 
 // Share is one service's part of a route.
@@ -87,8 +85,6 @@
 // Service is one service of the configuration.
 type Service struct {
 	Name wire.ServiceName
-	// MaxConnections is how many connections an endpoint accepts from all instances together.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 	// Scale is nil if the number of endpoints is not the system's to order.
@@ -99,12 +95,8 @@
 type Engine struct {
 	// BatchSize is how many requests an engine runs at once.
 	BatchSize int
-	// MemoryTokens is the size of an engine's KV cache.
-	MemoryTokens int
 	// HandleLife is how long an engine keeps a prefilled KV cache that nobody has taken.
 	HandleLife time.Duration
-	// StageChangeTime is how long an engine is away when its stage changes.
-	StageChangeTime time.Duration
 }
 
 // Scale bounds the endpoints that may be ordered in each failure domain.
