Read a table again when its feed may never be answered

Cause: an instance follows two tables by two feeds.

Instances report with their loads the version of the last change that they have applied; one that stays behind its peers reads the table.

Ruled out: shorter feeds (each costs calls, the largest price on large fleets); treating each interruption as a lost store (endpoints that vanish would be used for the grace period, longer than drain_ms allows).

--- a/router/peers.go
+++ b/router/peers.go
@@ -34,10 +34,11 @@
 // when a failure domain is lost or the next instances stop. The choice of peers does not consider their failure domains.
 const handoffCopies = 3
 
-// message is the content of one datagram: a load report or a hand-off of usage counts.
+// message is the content of one datagram: a load report with the applied versions, or a hand-off of usage counts.
 type message struct {
 	Report  *peerload.Report  `cbor:"1,keyasint,omitempty"`
 	Handoff *metering.Handoff `cbor:"2,keyasint,omitempty"`
+	Applied *appliedVersions  `cbor:"3,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -56,6 +57,8 @@
 	mu sync.Mutex
 	// members are the addresses of the peers that the store lists.
 	members []string
+	// followers are nil until setFollowers is called.
+	followers *followers
 }
 
 // newPeers listens at a UDP address and exchanges reports with the peers until close is called.
@@ -87,6 +90,20 @@
 	p.members = addresses
 }
 
+// setFollowers sets the followers whose versions are compared with those of the peers.
+func (p *peers) setFollowers(f *followers) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.followers = f
+}
+
+// tableFollowers returns the followers, or nil.
+func (p *peers) tableFollowers() *followers {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.followers
+}
+
 // addresses returns the sorted addresses of the peers that the store lists and of those that send reports.
 func (p *peers) addresses() []string {
 	all := p.peerLoads.Addresses()
@@ -108,17 +125,25 @@
 			}
 			continue
 		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
-			metrics.GetOrCreateCounter("router_peer_reports_rejected_total").Inc()
-			continue
-		}
-		if m.Report != nil {
-			p.peerLoads.Apply(*m.Report, time.Now())
-		}
-		if m.Handoff != nil {
-			p.handoffs.Keep(*m.Handoff, p.agreedNow())
-		}
+		p.receive(buffer[:n])
+	}
+}
+
+// receive applies one datagram.
+func (p *peers) receive(data []byte) {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		metrics.GetOrCreateCounter("router_peer_reports_rejected_total").Inc()
+		return
+	}
+	if m.Report != nil {
+		p.peerLoads.Apply(*m.Report, time.Now())
+	}
+	if m.Handoff != nil {
+		p.handoffs.Keep(*m.Handoff, p.agreedNow())
+	}
+	if f := p.tableFollowers(); f != nil && m.Applied != nil {
+		f.peerApplied(*m.Applied)
 	}
 }
 
@@ -148,8 +173,13 @@
 // broadcast sends a report to all peers. A report that does not fit into a datagram is shortened until it does. One that does not
 // fit although it has neither sent parts nor loads left is logged and not sent.
 func (p *peers) broadcast(report peerload.Report, addresses []string) {
+	m := message{Report: &report}
+	if f := p.tableFollowers(); f != nil {
+		applied := f.applied()
+		m.Applied = &applied
+	}
 	for {
-		data, err := cbor.Marshal(message{Report: &report})
+		data, err := cbor.Marshal(m)
 		if err != nil {
 			p.logger.Error().Err(err).Msg("PeerReportNotSent")
 			return
--- a/router/serve.go
+++ b/router/serve.go
@@ -127,8 +127,10 @@
 // start starts the background goroutines. Those that write to the store once more when ctx ends are added to finalWrites.
 func (n *node) start(ctx context.Context, finalWrites *sync.WaitGroup) {
 	s := n.settings.Load()
-	go newConfigurationFollower(n.store, n.relay, n.liveInstances, n.logger).run(ctx)
-	go newEndpointFollower(n.store, n.directory, n.liveInstances, n.logger).run(ctx)
+	f := newFollowers(n.store, n.relay, n.directory, n.liveInstances, n.logger)
+	n.peers.setFollowers(f)
+	go f.configuration.run(ctx)
+	go f.endpoints.run(ctx)
 	d := newDuties(dutyDeps{
 		settings: &n.settings, self: n.self, store: n.store, clock: n.agreedClock, counter: n.counter, relay: n.relay, directory: n.directory,
 		loadReporter: n.loadReporter, peerLoads: n.peerLoads, logger: n.logger,
