Bound what an endpoint in trouble can send

Cause: nothing bounded the head of a response, so an endpoint that writes a status line or header without end took memory until the request's deadline. Interim responses were taken as answers (100) or read on without end. A skipped response longer than 1 MiB was read on as the next head. Bodies and events were bounded for one request only. A search for content made blank lines without end cost quadratic time. Comments without end kept a stream alive, as each event restarted the timer.

Change: bounds for the heads of a response (32 KiB with up to 8 interim responses), a skipped body, an event and what lies between events with data; one budget for the response bytes that an instance holds, a quarter of limits.memory_mb. Past a bound the connection is closed and the endpoint counts as failed; what the caller is told follows from whether the request may have run, as before. Only events with data or an id restart the timer. Status codes that no response can have, and ids with control characters (found by FuzzEvents: such an id cannot be sent back to resume), are errors.

Ruled out: a budget by Content-Length (an endpoint that announces much and sends nothing would take the budget from all others); dropping comments (the body would no longer be the endpoint's).

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 KNOWN_RED := $(shell sed -n 's/^Test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build format tidy lint test demo soak policy capacity bench generate clean
+.PHONY: build format tidy lint test demo soak fuzz policy capacity bench generate clean
 
 build:
 	@mkdir -p $(BIN)
@@ -44,6 +44,12 @@
 soak:
 	scripts/soak.sh $(FOR) 1000 $(FUZZED)
 
+# Runs each native fuzz target for FOR seconds.
+fuzz:
+	@for f in $$(grep -rl --include='*_test.go' '^func Fuzz' $(MODULES)); do \
+		for t in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$f); do \
+			go test ./$$(dirname $$f) -run '^$$' -fuzz "^$$t$$" -fuzztime $(FOR)s || exit 1; done; done
+
 # Measures the policies for queueing and endpoint choice; not part of `make test`.
 policy:
 	@go run ./policy $(POLICY)
--- a/router/serve.go
+++ b/router/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -37,6 +38,19 @@
 	stopMargin = time.Second
 )
 
+// Bounds of the bytes of responses that an instance holds in memory.
+const (
+	// heldMemoryShare is the fraction of the instance's memory, as a divisor, that responses may take.
+	heldMemoryShare = 4
+	// defaultMemoryBytes applies if the settings do not state the memory.
+	defaultMemoryBytes = 184 << 20
+)
+
+// heldBytes returns how many bytes of responses an instance with the given memory may hold; 0 means that the memory is not known.
+func heldBytes(memory int64) int64 {
+	return cmp.Or(memory, defaultMemoryBytes) / heldMemoryShare
+}
+
 // cleanUpInterval is the interval at which cleanUp is called and the settings file is checked for changes.
 const cleanUpInterval = 500 * time.Millisecond
 
@@ -89,7 +103,7 @@
 	observer := decisionLog{logger: logger}
 	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
-	replicaClient := platform.NewReplicaClient(n.pool, clock)
+	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(heldBytes(s.MemoryBytes)))
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent))
 	n.callerHandler = &callerHandler{relay: n.relay, logger: logger}
 	return n
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -42,12 +42,20 @@
 	stalls
 	// answers503 answers with status 503 without stating that the request did not run.
 	answers503
+	// sendsComments runs the request and sends only comments after the first events, or no body, until the sender cancels.
+	sendsComments
 	behaviourCount
 )
 
 // streamEvents is how many events a complete stream has.
 const streamEvents = 5
 
+// A fake stream that sendsComments sends comment every commentInterval, which is below the MaxPause of the routes.
+const (
+	comment         = ": ping\n\n"
+	commentInterval = time.Millisecond
+)
+
 // fakeSender is a sender whose endpoints behave as next says. It counts what they did.
 type fakeSender struct {
 	mu   sync.Mutex
@@ -103,7 +111,7 @@
 		}
 		first = last + 1
 	}
-	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, ctx: ctx}}, nil
+	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, ctx: ctx}}, nil
 }
 
 func (f *fakeSender) Prefilled(a *relay.Answer) (string, error) {
@@ -119,30 +127,39 @@
 	next      int
 	breaksOff bool
 	stalls    bool
+	comments  bool
 	ctx       context.Context
 }
 
-func (b *body) Next() ([]byte, string, error) {
+func (b *body) Next() (relay.Event, error) {
 	if b.breaksOff && b.next > streamEvents/2 {
-		return nil, "", io.ErrUnexpectedEOF
+		return relay.Event{}, io.ErrUnexpectedEOF
 	}
 	if b.stalls && b.next > streamEvents/2 {
 		<-b.ctx.Done()
-		return nil, "", context.Cause(b.ctx)
+		return relay.Event{}, context.Cause(b.ctx)
+	}
+	if b.comments && b.next > streamEvents/2 {
+		select {
+		case <-b.ctx.Done():
+			return relay.Event{}, context.Cause(b.ctx)
+		case <-time.After(commentInterval):
+			return relay.Event{Bytes: []byte(comment)}, nil
+		}
 	}
 	if b.next > streamEvents {
-		return nil, "", io.EOF
+		return relay.Event{}, io.EOF
 	}
 	id := strconv.Itoa(b.next)
 	b.next++
-	return []byte("id: " + id + "\n\n"), id, nil
+	return relay.Event{Bytes: []byte("id: " + id + "\n\n"), ID: id, HasData: true}, nil
 }
 
 func (b *body) All() ([]byte, error) {
 	if b.breaksOff {
 		return nil, io.ErrUnexpectedEOF
 	}
-	if b.stalls {
+	if b.stalls || b.comments {
 		<-b.ctx.Done()
 		return nil, context.Cause(b.ctx)
 	}
@@ -166,10 +183,15 @@
 	c.status, c.text = status, string(b)
 }
 func (c *fakeCaller) Begin(status int, h relay.Header) { c.status, c.from = status, h["From"][0] }
-func (c *fakeCaller) Event(e []byte) error             { c.events += string(e); return nil }
-func (c *fakeCaller) End()                             { c.ended = true }
-func (c *fakeCaller) Abort()                           { c.aborted = true }
-func (c *fakeCaller) Refuse(r relay.Refusal)           { c.refusal = &r }
+func (c *fakeCaller) Event(e []byte) error {
+	if string(e) != comment {
+		c.events += string(e)
+	}
+	return nil
+}
+func (c *fakeCaller) End()                   { c.ended = true }
+func (c *fakeCaller) Abort()                 { c.aborted = true }
+func (c *fakeCaller) Refuse(r relay.Refusal) { c.refusal = &r }
 
 // completeStream returns the events of a complete stream as a caller receives them.
 func completeStream() string {
--- a/serving/relay/relay_test.go
+++ b/serving/relay/relay_test.go
@@ -242,6 +242,22 @@
 	}
 }
 
+// TestCommentsAreNoProgressOfAStream checks that a stream on which only comments arrive is resumed at another endpoint.
+func TestCommentsAreNoProgressOfAStream(t *testing.T) {
+	commented := false
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly || commented {
+			return succeeds
+		}
+		commented = true
+		return sendsComments
+	})
+	c := h.request(t, "/resume/")
+	if !c.ended || c.events != completeStream() || h.sender.runs != 2 {
+		t.Errorf("got %q, ended %v, after %d runs", c.events, c.ended, h.sender.runs)
+	}
+}
+
 // TestPausesAndUnreachableDomainsAreReported checks that the observer is notified when an endpoint or a failure domain is first
 // avoided, so that the log shows since when.
 func TestPausesAndUnreachableDomainsAreReported(t *testing.T) {
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -75,14 +75,24 @@
 
 // Body is the body of an answer. A caller uses either Next or All.
 type Body interface {
-	// Next returns the next complete event of a stream and its id, or io.EOF at the end of a complete stream.
-	Next() (event []byte, id string, err error)
+	// Next returns the next complete event of a stream, or io.EOF at the end of a complete stream.
+	Next() (Event, error)
 	// All returns the complete body of an answer that is not a stream.
 	All() ([]byte, error)
 	// Close ends the exchange with the endpoint, also if the body has not been read to its end.
 	Close()
 }
 
+// Event is a server-sent event.
+type Event struct {
+	// Bytes are the event as it was received, with its closing blank line.
+	Bytes []byte
+	// ID is empty if the event has no id.
+	ID string
+	// HasData is set if the event has data or an id. Other events, such as comments, are no progress of a stream.
+	HasData bool
+}
+
 // Sender sends requests to endpoints.
 type Sender interface {
 	// Send sends an attempt and returns the answer once its head is received. A NeverSentError means that the endpoint cannot
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -144,8 +144,7 @@
 // forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished.
 func (j *job) forwardStream(ctx context.Context, w *watchdog, e *roster.Endpoint, a *Answer) bool {
 	for {
-		event, id, err := a.Body.Next()
-		w.reset(eventTimeoutPauses * j.route.MaxPause)
+		event, err := a.Body.Next()
 		if errors.Is(err, io.EOF) {
 			return j.finishStream(e, a)
 		}
@@ -154,15 +153,18 @@
 			j.recordFailure(ctx, e, err)
 			return false
 		}
-		j.meterOnce()
+		if event.HasData {
+			w.reset(eventTimeoutPauses * j.route.MaxPause)
+			j.meterOnce()
+		}
 		j.forwardHead(e, a)
-		if err := j.caller.Event(event); err != nil {
+		if err := j.caller.Event(event.Bytes); err != nil {
 			j.observe("Aborted", e, a.Status, "writing an event to the client failed", err)
 			j.caller.Abort()
 			return true
 		}
-		if id != "" {
-			j.lastEvent = id
+		if event.ID != "" {
+			j.lastEvent = event.ID
 		}
 	}
 }
--- a/shared/link/conn.go
+++ b/shared/link/conn.go
@@ -13,13 +13,24 @@
 	"time"
 )
 
-// readBufferBytes is the size of a connection's read buffer: room for the head of a response and a few events of a stream.
-const readBufferBytes = 4 << 10
+// Bounds of what is read from an endpoint.
+const (
+	// readBufferBytes is the size of a connection's read buffer: room for the head of a response and a few events of a stream.
+	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response, with the interim responses before it. The read buffer may hold a little more.
+	maxHeadBytes = 32 << 10
+	// maxInterimResponses is how many interim responses (1xx) may precede a response.
+	maxInterimResponses = 8
+	// minStatus is the lowest status code of a response that is not interim.
+	minStatus = 200
+)
 
 // Conn is a connection to an endpoint. It carries one exchange (a request and its response) at a time.
 type Conn struct {
 	conn net.Conn
-	r    *bufio.Reader
+	// limit bounds what r reads from conn.
+	limit *limitedReader
+	r     *bufio.Reader
 	// Reused reports whether the connection carried another exchange before.
 	Reused bool
 	// idleUntil is the time from which the connection is no longer reused, as the endpoint may close it.
@@ -31,7 +42,8 @@
 }
 
 func newConn(c net.Conn) *Conn {
-	return &Conn{conn: c, r: bufio.NewReaderSize(c, readBufferBytes)}
+	limit := &limitedReader{r: c}
+	return &Conn{conn: c, limit: limit, r: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // Send writes a request. What the kernel does not accept at once is written in the background, as an endpoint may answer before it
@@ -56,9 +68,24 @@
 	}()
 }
 
-// ReadResponse reads the head of the next response on the connection.
+// ReadResponse reads the head of the next response on the connection and skips interim responses before it. The error is a
+// *HeadTooLongError if the heads exceed maxHeadBytes. The body of the response has no bound.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
-	return http.ReadResponse(c.r, &http.Request{Method: method})
+	c.limit.set(maxHeadBytes)
+	defer c.limit.clear()
+	for range maxInterimResponses + 1 {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= minStatus {
+			return resp, nil
+		}
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, &UnexpectedStatusError{Status: resp.StatusCode}
+		}
+	}
+	return nil, &HeadTooLongError{}
 }
 
 // Reusable reports whether the connection may carry another exchange, after the response has been read to its end: the request was
