Name the endpoint and the cause in the line that ends a request

Cause: a request that ended while an endpoint held it left a Refused or Aborted line without the endpoint. A stop at the end of the grace period cut open requests without an answer and without a line. A resumed stream that got another kind of answer was aborted without a line, and a stream that ended without an event was not metered.

Change: Refused and Aborted lines have Endpoint, HeldMillis, the status that the endpoint had answered, and one cause: the client disconnected, the deadline passed, the instance stops, or why no further send was possible. Requests that outlast the grace period are ended before the process exits; their clients get an answer that promises nothing.

Ruled out: taking the cause from the error of the send (a send that is cancelled fails in several ways).

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -65,9 +67,10 @@
 	return route.Limits{}
 }
 
-// newCallerServer returns the HTTP server for callers' connections, which are tracked by idle.
-func newCallerServer(h *callerHandler, idle *idleConns) *http.Server {
+// newCallerServer returns the HTTP server for callers' connections, which are tracked by idle. All requests end with ctx.
+func newCallerServer(ctx context.Context, h *callerHandler, idle *idleConns) *http.Server {
 	return &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/router/logger.go
+++ b/router/logger.go
@@ -92,6 +92,9 @@
 	if decision.Pause > 0 {
 		entry = entry.Int64("PauseMillis", decision.Pause.Milliseconds())
 	}
+	if decision.Held > 0 {
+		entry = entry.Int64("HeldMillis", decision.Held.Milliseconds())
+	}
 	if decision.Status != 0 {
 		entry = entry.Int("Status", decision.Status)
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -34,8 +34,10 @@
 	// unreadyDelay is how long the instance still accepts connections after it has reported that it is not ready: the platform
 	// checks readiness once a second and stops opening connections after the second failed check.
 	unreadyDelay = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period that is reserved for the last writes to the store.
+	// stopMargin is the part of the grace period that is reserved for ending open requests and for the last writes to the store.
 	stopMargin = time.Second
+	// endTimeout bounds the time in which open requests are ended at the end of the grace period.
+	endTimeout = 200 * time.Millisecond
 )
 
 // Bounds of the bytes of responses that an instance holds in memory.
@@ -75,6 +77,9 @@
 	idleConns     *idleConns
 	peers         *peers
 	slackShare    *retry.SlackShare
+	// requestCtx is the base context of all requests of callers; endRequests ends them with a cause.
+	requestCtx  context.Context
+	endRequests context.CancelCauseFunc
 	// listenErrs receives the errors of listeners that ended.
 	listenErrs chan error
 	// hup receives SIGHUP, which reloads the settings.
@@ -96,6 +101,7 @@
 		hup:         make(chan os.Signal, 1),
 	}
 	n.settings.Store(s)
+	n.requestCtx, n.endRequests = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, n.agreedClock.Observe)
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreedClock.Now)
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
@@ -135,7 +141,7 @@
 	}
 	n.callerHandler.stopping.Store(true)
 	logger.Info().Msg("Stopping")
-	return shutDown(server, n.settings.Load().Bounds.StopGrace, logger)
+	return n.shutDown(server)
 }
 
 // start starts the background goroutines. Those that write to the store once more when ctx ends are added to finalWrites.
@@ -170,7 +176,7 @@
 // listen starts the instance's HTTP servers and returns the one for callers.
 func (n *node) listen(o options) (*http.Server, error) {
 	s := n.settings.Load()
-	server := newCallerServer(n.callerHandler, n.idleConns)
+	server := newCallerServer(n.requestCtx, n.callerHandler, n.idleConns)
 	if err := serveAt(server, s.CallerAddress, n.listenErrs); err != nil {
 		return nil, err
 	}
@@ -246,16 +252,24 @@
 }
 
 // shutDown waits for unreadyDelay, so that the platform notices that the instance is not ready, and then until open requests have
-// ended. If some are still open stopMargin before the end of the grace period, it returns a *process.IncompleteShutdownError.
-func shutDown(srv *http.Server, grace time.Duration, logger *log.Logger) error {
-	deadline := time.Now().Add(grace - stopMargin)
+// ended. Those that are still open stopMargin before the end of the grace period are ended with the cause relay.ErrStopping, and
+// shutDown returns a *process.IncompleteShutdownError.
+func (n *node) shutDown(srv *http.Server) error {
+	deadline := time.Now().Add(n.settings.Load().Bounds.StopGrace - stopMargin)
 	time.Sleep(unreadyDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
-		logger.Warn().Err(err).Msg("Stopped")
-		return &process.IncompleteShutdownError{What: "open requests"}
+	err := srv.Shutdown(ctx)
+	if err == nil {
+		n.logger.Info().Msg("Stopped")
+		return nil
 	}
-	logger.Info().Msg("Stopped")
-	return nil
+	n.endRequests(relay.ErrStopping)
+	ctx, cancel = context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if endErr := srv.Shutdown(ctx); endErr != nil {
+		err = errors.Join(err, endErr)
+	}
+	n.logger.Warn().Err(err).Msg("Stopped")
+	return &process.IncompleteShutdownError{What: "open requests"}
 }
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -63,7 +64,7 @@
 	return l.Addr().String()
 }
 
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	t.Helper()
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -74,10 +75,13 @@
 }
 
 // startInstance runs an instance until the test ends; its endpoint answers with respond.
-func startInstance(t *testing.T, respond func(r *http.Request, body []byte) (string, bool)) *testInstance {
+func startInstance(t *testing.T, respond func(r *http.Request, body []byte) (string, bool), edits ...func(settings string) string) *testInstance {
 	t.Helper()
 	x := &testInstance{t: t, store: platformtest.NewStore(t), duties: platformtest.NewDutyServer(t), endpoint: platformtest.NewReplica(t, respond), log: &logBuffer{}, done: make(chan error, 1)}
 	text := platformtest.Settings(freeAddress(t), freeAddress(t), x.store.Address, x.duties.Address, freePort(t))
+	for _, edit := range edits {
+		text = edit(text)
+	}
 	settings, err := platform.ParseSettings("boot.conf", []byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -115,15 +119,31 @@
 // eventually waits until a condition holds, and fails the test after waitTimeout.
 func (x *testInstance) eventually(what string, condition func() bool) {
 	x.t.Helper()
+	if !holdsInTime(condition) {
+		x.t.Fatalf("timed out waiting for %s; the log is:\n%s", what, x.log)
+	}
+}
+
+// waitFor waits until a condition holds, and fails the test after waitTimeout.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	if !holdsInTime(condition) {
+		t.Fatalf("timed out waiting for %s", what)
+	}
+}
+
+// holdsInTime waits until a condition holds, at most for waitTimeout, and reports whether it does.
+func holdsInTime(condition func() bool) bool {
 	deadline := time.Now().Add(waitTimeout)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for !condition() {
 		if time.Now().After(deadline) {
-			x.t.Fatalf("timed out waiting for %s; the log is:\n%s", what, x.log)
+			return false
 		}
 		<-ticker.C
 	}
+	return true
 }
 
 func (x *testInstance) ready() bool {
@@ -155,6 +175,11 @@
 	return resp.StatusCode, string(body)
 }
 
+// replaceSettings replaces a part of the text of the settings before the instance starts.
+func replaceSettings(old, text string) func(string) string {
+	return func(s string) string { return strings.Replace(s, old, text, 1) }
+}
+
 // respondDone answers with "done" and the body of the request.
 func respondDone(r *http.Request, body []byte) (string, bool) {
 	return platformtest.SealedResponse(r, 200, "done "+string(body)), true
@@ -238,3 +263,41 @@
 		t.Errorf("serve returned %v", err)
 	}
 }
+
+// TestStopEndsRequestsThatOutlastTheGracePeriod stops an instance while an endpoint works on a booking for longer than the grace
+// period. The client must get an answer that promises nothing, and the log must name the endpoint and the cause.
+func TestStopEndsRequestsThatOutlastTheGracePeriod(t *testing.T) {
+	received, proceed := make(chan struct{}), make(chan struct{})
+	defer close(proceed)
+	x := startInstance(t, func(r *http.Request, body []byte) (string, bool) {
+		close(received)
+		<-proceed
+		return respondDone(r, body)
+	}, replaceSettings("bounds.grace_s=8", "bounds.grace_s=4"))
+	configuration := strings.Replace(platformtest.Configuration(1, "k"), `"timeout_ms":2000`, `"timeout_ms":20000`, 1)
+	x.store.Put(platform.OperatorTable, platform.ConfigurationKey, configuration)
+	x.listEndpoint("i-1", "ready")
+	x.eventually("a ready instance", x.ready)
+	x.eventually("a listed endpoint", func() bool { return strings.Contains(x.log.String(), `"message":"Endpoint"`) })
+	answers := make(chan string, 1)
+	go func() {
+		status, body := x.post("1", "k")
+		answers <- fmt.Sprint(status, " ", body)
+	}()
+	<-received
+	x.stop()
+	if answer := <-answers; !strings.HasPrefix(answer, "502 Unknown: the instance stops") {
+		t.Errorf("the open request got %q", answer)
+	}
+	if err := <-x.done; err == nil {
+		t.Error("serve did not report that requests were open")
+	}
+	x.eventually("a line about the request's end", func() bool {
+		for line := range strings.SplitSeq(x.log.String(), "\n") {
+			if strings.Contains(line, `"message":"Refused"`) && strings.Contains(line, `"Endpoint":"i-1"`) && strings.Contains(line, "HeldMillis") {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -52,6 +52,7 @@
 	a.PrefillOnly = true
 	w := newWatchdog(ctx, j.relay.clock, max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)))
 	defer w.close()
+	j.beginExchange(e)
 	answer, err := j.relay.sender.Send(w.ctx, e, a)
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
@@ -64,6 +65,7 @@
 		return false
 	}
 	defer answer.Body.Close()
+	j.exchange.status = answer.Status
 	if !answer.Success() {
 		j.sent++
 		j.recordRejection(e, answer)
@@ -75,6 +77,7 @@
 		j.recordFailure(ctx, e, err)
 		return false
 	}
+	j.exchange.end(j.relay.clock.Now(), nil)
 	j.recordSuccess(e)
 	j.recordCachedParts(e)
 	j.source = &Source{Endpoint: e, Handle: handle}
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -45,6 +45,9 @@
 	// sendsComments runs the request and sends only comments after the first events, or no body, until the sender cancels.
 	sendsComments
 	behaviourCount
+	// sendsNoEvents runs the request and answers with a stream that ends without an event. It is not drawn at random, as its stream
+	// differs from that of the other behaviours.
+	sendsNoEvents
 )
 
 // streamEvents is how many events a complete stream has.
@@ -104,6 +107,9 @@
 		return &relay.Answer{Status: 503, Body: &body{text: "busy"}}, nil
 	}
 	first := 1
+	if b == sendsNoEvents {
+		first = streamEvents + 1
+	}
 	if a.LastEvent != "" {
 		last, err := strconv.Atoi(a.LastEvent)
 		if err != nil {
@@ -207,10 +213,13 @@
 type recorder struct {
 	began           int
 	paused, domains []string
+	// decisions are all decisions in order.
+	decisions []relay.Decision
 }
 
 func (r *recorder) Began(wire.WorkspaceName) { r.began++ }
 func (r *recorder) Decided(d relay.Decision) {
+	r.decisions = append(r.decisions, d)
 	if d.Pause > 0 {
 		r.paused = append(r.paused, d.Step)
 	}
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -42,6 +42,8 @@
 	queuedTokens, newTokens int
 	// pause is how long the endpoint that failed last is avoided; it is reset once it is logged.
 	pause time.Duration
+	// exchange is the send or prefill in progress, or the one that ended last without an answer for the caller; nil before the first.
+	exchange *exchange
 	// streaming is set once the caller has the head of a stream; lastEvent is the id of the last event, if any.
 	streaming bool
 	lastEvent string
@@ -155,6 +157,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	j.exchange.end(j.relay.clock.Now(), err)
 	j.excluded = append(j.excluded, e.Entry().ID)
 	now := j.relay.clock.Now()
 	j.pause = e.MarkFailed(now)
@@ -188,19 +191,31 @@
 	j.freeSource()
 	switch {
 	case j.streaming:
-		j.observe("Aborted", nil, 0, reason, context.Cause(ctx))
+		j.observeEnd(ctx, "Aborted", reason)
 		j.caller.Abort()
-	case j.possibleRuns == 0 && ctx.Err() == nil:
-		j.refuse(Refusal{Verdict: NotRun, Reason: reason, RetryAfter: refusalRetryAfter})
 	case j.possibleRuns == 0:
-		j.refuse(Refusal{Verdict: NotRun, Reason: "the deadline passed: " + reason})
+		j.refuseEnded(ctx, Refusal{Verdict: NotRun, Reason: reason, RetryAfter: j.retryAfter(ctx)})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		j.refuse(Refusal{Verdict: Expired, Reason: reason})
+		j.refuseEnded(ctx, Refusal{Verdict: Expired, Reason: reason})
 	default:
-		j.refuse(Refusal{Verdict: Unknown, Reason: reason})
+		j.refuseEnded(ctx, Refusal{Verdict: Unknown, Reason: reason})
 	}
 }
 
+// retryAfter returns when the client of a request that has not run should retry; 0 states no time, as the client's own time is over.
+func (j *job) retryAfter(ctx context.Context) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	return refusalRetryAfter
+}
+
+// refuseEnded refuses a request for which an endpoint may have been working.
+func (j *job) refuseEnded(ctx context.Context, r Refusal) {
+	j.observeEnd(ctx, "Refused", r.Verdict.String()+": "+r.Reason)
+	j.caller.Refuse(r)
+}
+
 // freeSource frees a prefilled KV cache that no decode engine has fetched.
 func (j *job) freeSource() {
 	if j.source != nil {
@@ -218,6 +233,29 @@
 
 // observe passes a decision on the request to the observer. The endpoint is nil if the decision concerns none.
 func (j *job) observe(step string, e *roster.Endpoint, status int, reason string, err error) {
+	d := j.decision(step, reason, err)
+	d.Status = status
+	if e != nil {
+		j.describeEndpoint(&d, e)
+	}
+	j.relay.observer.Decided(d)
+}
+
+// observeEnd passes the end of a request to the observer, with the endpoint that held it last, for how long, and what it had answered.
+func (j *job) observeEnd(ctx context.Context, step, reason string) {
+	d := j.decision(step, reason, context.Cause(ctx))
+	if x := j.exchange; x != nil {
+		j.describeEndpoint(&d, x.endpoint)
+		d.Status, d.Held = x.status, x.held(j.relay.clock.Now())
+		if d.Err == nil {
+			d.Err = x.err
+		}
+	}
+	j.relay.observer.Decided(d)
+}
+
+// decision returns a decision on the request that concerns no endpoint.
+func (j *job) decision(step, reason string, err error) Decision {
 	now := j.relay.clock.Now()
 	d := Decision{
 		Request:   j.request.ID,
@@ -226,7 +264,6 @@
 		Version:   j.version,
 		Attempt:   j.sent,
 		Age:       now.Sub(j.request.Arrived),
-		Status:    status,
 		Reason:    reason,
 		Err:       err,
 	}
@@ -236,10 +273,12 @@
 	if !j.deadline.IsZero() {
 		d.Left = j.deadline.Sub(now)
 	}
-	if e != nil {
-		d.Endpoint = e.Entry().ID
-		d.Waiting, d.Unread = j.queuedTokens, j.newTokens
-		d.Pause, j.pause = j.pause, 0
-	}
-	j.relay.observer.Decided(d)
+	return d
+}
+
+// describeEndpoint adds an endpoint and what was known of it to a decision.
+func (j *job) describeEndpoint(d *Decision, e *roster.Endpoint) {
+	d.Endpoint = e.Entry().ID
+	d.Waiting, d.Unread = j.queuedTokens, j.newTokens
+	d.Pause, j.pause = j.pause, 0
 }
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -51,6 +51,8 @@
 	Waiting, Unread int
 	// Pause is for how long the endpoint is avoided from now on; 0 means that this decision starts no pause.
 	Pause time.Duration
+	// Held is for how long the endpoint had the request, if the request ended without a complete answer.
+	Held time.Duration
 	// Status is the HTTP status of the answer that was decided on, or 0.
 	Status int
 	Reason string
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -19,7 +19,7 @@
 		}
 		e := j.chooseEndpoint(ctx)
 		if ctx.Err() != nil {
-			j.fail(ctx, "the client left or the time is over")
+			j.fail(ctx, endReason(ctx))
 			return
 		}
 		if e == nil {
@@ -34,7 +34,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			j.fail(ctx, "the client left or the time is over")
+			j.fail(ctx, endReason(ctx))
 			return
 		}
 	}
@@ -60,6 +60,7 @@
 	defer release()
 	w := newWatchdog(ctx, j.relay.clock, j.responseTimeout(e))
 	defer w.close()
+	j.beginExchange(e)
 	a, err := j.relay.sender.Send(w.ctx, e, j.newAttempt())
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
@@ -75,6 +76,7 @@
 		return false
 	}
 	defer a.Body.Close()
+	j.exchange.status = a.Status
 	if a.NotRun || a.Misdirected {
 		j.recordRejection(e, a)
 		return false
@@ -91,6 +93,7 @@
 
 // recordRejection records that an endpoint did not run the request or the prefill. A KV cache that was prefilled for it is freed.
 func (j *job) recordRejection(e *roster.Endpoint, a *Answer) {
+	j.exchange.end(j.relay.clock.Now(), nil)
 	j.excluded = append(j.excluded, e.Entry().ID)
 	if a.Misdirected {
 		j.pause = e.MarkFailed(j.relay.clock.Now())
@@ -112,6 +115,7 @@
 		return false
 	}
 	if a.Status >= 500 && !j.streaming && j.mayRun() && j.canRetryElsewhere(e) {
+		j.exchange.end(j.relay.clock.Now(), nil)
 		j.excluded = append(j.excluded, e.Entry().ID)
 		j.observe("Retried", e, a.Status, "the endpoint answered with a server error; retrying at another endpoint", nil)
 		return false
@@ -120,6 +124,7 @@
 		j.recordSuccess(e)
 	}
 	if j.streaming {
+		j.observe("Aborted", e, a.Status, "the endpoint answered the resumption with something else than a stream", nil)
 		j.caller.Abort()
 		return true
 	}
@@ -182,6 +187,7 @@
 
 // finishStream completes the caller's stream, which may have had no event.
 func (j *job) finishStream(e *roster.Endpoint, a *Answer) bool {
+	j.meterOnce()
 	j.forwardHead(e, a)
 	j.observe("Answered", e, a.Status, "", nil)
 	j.caller.End()
