Contain unexpected errors to one request or one piece of work

Cause: a panic in background work (a datagram, a row of the store, a step of the duties) ended the process with all its requests. A panic in a request's path closed the connection without an answer, and the log had no line with the request's id.

Change: each piece of background work is run under protect, which logs the panic with its stack, counts it and reports it as an error; followers back off after it. A request that panics gets a refusal that promises nothing, or an incomplete stream if its answer has begun.

Ruled out: the recovery of net/http alone (no answer, no id in the log).

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -23,9 +23,17 @@
 	defaultMaxBodyBytes = 4 << 20
 )
 
+// requestRelay serves requests. It is implemented by *relay.Relay.
+type requestRelay interface {
+	// Serve runs a request and returns when its caller has an answer.
+	Serve(ctx context.Context, r *relay.Request, c relay.Caller)
+	// Table returns the configuration in force, or nil.
+	Table() *route.Table
+}
+
 // callerHandler is the HTTP handler for callers' requests.
 type callerHandler struct {
-	relay  *relay.Relay
+	relay  requestRelay
 	logger *log.Logger
 	// stopping is set when the instance stops. Answers then carry "Connection: close", so that callers connect to another instance.
 	stopping atomic.Bool
@@ -45,13 +53,30 @@
 		w.Header().Set("Connection", "close")
 	}
 	caller := platform.NewCaller(w)
-	h.relay.Serve(r.Context(), req, caller)
+	h.serve(r.Context(), req, caller)
 	metrics.GetOrCreateHistogram("router_request_seconds").UpdateDuration(arrived)
 	if caller.Incomplete {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// serve passes a request to the relay. If that panics, the caller gets a refusal that promises nothing, or an incomplete answer.
+func (h *callerHandler) serve(ctx context.Context, req *relay.Request, caller *platform.Caller) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		logPanic(h.logger, "request", string(req.ID), value)
+		if caller.Begun {
+			caller.Abort()
+			return
+		}
+		caller.Refuse(relay.Refusal{Verdict: relay.Unknown, Reason: "an internal error"})
+	}()
+	h.relay.Serve(ctx, req, caller)
+}
+
 func (h *callerHandler) maxBodyBytes() int64 {
 	if n := h.limits().MaxBody; n > 0 {
 		return n
--- a/router/duties.go
+++ b/router/duties.go
@@ -102,7 +102,7 @@
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	for {
-		d.step(ctx)
+		_ = protect(d.logger, "duties", func() { d.step(ctx) })
 		select {
 		case <-ctx.Done():
 			releaseCtx, cancel := context.WithTimeout(context.Background(), orderTimeout)
--- a/router/follower.go
+++ b/router/follower.go
@@ -79,7 +79,10 @@
 	backoff := membership.InitialBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.step(ctx)
+		var err error
+		if panicErr := protect(f.logger, "table "+f.table, func() { err = f.step(ctx) }); panicErr != nil {
+			err = panicErr
+		}
 		if err == nil {
 			backoff = membership.InitialBackoff
 			f.waitForBatch(ctx)
--- a/router/members.go
+++ b/router/members.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -32,8 +33,10 @@
 			return
 		case <-timer.C:
 		}
-		addresses, err := registration.Refresh(ctx)
-		if err != nil {
+		var addresses []string
+		var err error
+		panicErr := protect(logger, "members", func() { addresses, err = registration.Refresh(ctx) })
+		if err = cmp.Or(err, panicErr); err != nil {
 			logger.Warn().Err(err).Msg("MemberNotRefreshed")
 		}
 		// If the rows could not be read, addresses is nil and the last list of peers stays in use.
--- a/router/peers.go
+++ b/router/peers.go
@@ -125,7 +125,7 @@
 			}
 			continue
 		}
-		p.receive(buffer[:n])
+		_ = protect(p.logger, "datagram", func() { p.receive(buffer[:n]) })
 	}
 }
 
@@ -160,14 +160,20 @@
 		}
 		addresses := p.addresses()
 		timer.Reset(max(reportInterval, time.Duration(len(addresses))*time.Second/maxReportsPerSecond))
-		report, changed := p.reporter.Next(time.Now())
-		if !changed && time.Since(lastSent) < maxReportInterval {
-			continue
-		}
-		lastSent = time.Now()
-		p.peerLoads.Expire(lastSent)
-		p.broadcast(report, addresses)
+		_ = protect(p.logger, "report", func() { p.reportOnce(addresses, &lastSent) })
+	}
+}
+
+// reportOnce reports this instance's load to the addresses, unless nothing has changed since lastSent, less than maxReportInterval ago.
+func (p *peers) reportOnce(addresses []string, lastSent *time.Time) {
+	now := time.Now()
+	report, changed := p.reporter.Next(now)
+	if !changed && now.Sub(*lastSent) < maxReportInterval {
+		return
 	}
+	*lastSent = now
+	p.peerLoads.Expire(now)
+	p.broadcast(report, addresses)
 }
 
 // broadcast sends a report to all peers. A report that does not fit into a datagram is shortened until it does. One that does not
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -12,6 +12,7 @@
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/tabletest"
 	"cowslipshunt.example/wire"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // TestHandoffsAgeByAgreedTime hands counts off between two instances whose agreed time differs from the wall clock by an
@@ -46,3 +47,40 @@
 		t.Errorf("wrote %v for an owner that was silent for 6 s, want its 3 requests: %v", written, err)
 	}
 }
+
+// newTestPeers returns the peers of an instance that knows one endpoint.
+func newTestPeers(t testing.TB) *peers {
+	t.Helper()
+	d := roster.NewDirectory()
+	d.Put(roster.Entry{Key: roster.Key{ID: "i-1", Born: 1}, Service: "s", Domain: "a", Stage: roster.Decode, Slots: 1})
+	self := lease.Identity{Instance: "self", Incarnation: "1"}
+	address := fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	p, err := newPeers(self, address, peerload.NewReporter("self", "1", address, d), peerload.NewTable("self", d), metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "self"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.close)
+	p.setFollowers(newFollowers(nil, nil, d, func() int { return 1 }, p.logger))
+	return p
+}
+
+// datagramSeeds returns whole datagrams of each kind, and one that is cut.
+func datagramSeeds(t testing.TB) [][]byte {
+	t.Helper()
+	messages := []message{
+		{Report: &peerload.Report{From: "peer", Incarnation: "2", Sequence: 1, Address: "127.0.0.1:1", Loads: []peerload.Load{{Endpoint: "i-1", Prefill: 5, InFlight: 1}},
+			Sent:    []peerload.SentParts{{Endpoint: "i-1", Parts: []roster.PartID{1}}},
+			Changes: []peerload.StageChange{{Endpoint: "i-1", To: roster.Prefill}}, Paused: []wire.EndpointId{"i-1"}}},
+		{Handoff: &metering.Handoff{Instance: "peer", Incarnation: "2", Window: 1, Counts: metering.Counts{"w": 1}, Made: 1}},
+		{Applied: &appliedVersions{Configuration: 3, Endpoints: 4}},
+	}
+	var seeds [][]byte
+	for _, m := range messages {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seeds = append(seeds, data, data[:len(data)/2])
+	}
+	return seeds
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -209,7 +209,7 @@
 			if n.file.changed() {
 				n.reload("the file has changed")
 			}
-			n.cleanUp()
+			_ = protect(n.logger, "clean-up", n.cleanUp)
 		case <-ctx.Done():
 			return nil
 		}
--- a/router/usage.go
+++ b/router/usage.go
@@ -37,7 +37,7 @@
 			return
 		case <-timer.C:
 		}
-		u.step(ctx)
+		_ = protect(u.logger, "usage", func() { u.step(ctx) })
 		timer.Reset(membership.UsageWriteInterval(u.liveInstances()))
 	}
 }
