Copy usage counts to peers before they are written

An instance that the store did not serve kept its counts until its return, too late for their window. A window was taken as complete once a killed instance had started again, before peers could write what the old incarnation had counted. A withdrawal was one datagram.

Change: twice a second an instance hands its unwritten counts to three peers in different failure domains; withdrawals are repeated. A peer writes them once the owner could not, has stopped, runs another incarnation or is silent for 1.5 s, on condition that the window is not frozen with them. Windows wait for incarnations in place of instances; one that has ended says so. An instance that no reporter knows of writes its first counts at once. A stale member row that is refreshed at the same time no longer fails the own refresh.

TestHandoffNeverLowersCounts now expects the mark of an ended incarnation in the rows of final hand-offs, which is as strict as before.

--- a/router/members.go
+++ b/router/members.go
@@ -17,7 +17,7 @@
 	leaveTimeout = 500 * time.Millisecond
 )
 
-// maintainMembership refreshes the instance's row and the addresses of its peers until ctx ends, and then removes the row.
+// maintainMembership refreshes the instance's row and the list of its peers until ctx ends, and then removes the row.
 func maintainMembership(ctx context.Context, registration *membership.Registration, peers *peers, logger *log.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -33,16 +33,16 @@
 			return
 		case <-timer.C:
 		}
-		var addresses []string
+		var members []membership.Peer
 		var err error
-		panicErr := protect(logger, "members", func() { addresses, err = registration.Refresh(ctx) })
+		panicErr := protect(logger, "members", func() { members, err = registration.Refresh(ctx) })
 		if err = cmp.Or(err, panicErr); err != nil {
 			logger.Warn().Err(err).Msg("MemberNotRefreshed")
 		}
-		// If the rows could not be read, addresses is nil and the last list of peers stays in use.
-		if addresses != nil {
-			peers.setMembers(addresses)
-			if alive := len(addresses) + 1; alive != lastAlive {
+		// If the rows could not be read, members is nil and the last list of peers stays in use.
+		if members != nil {
+			peers.setMembers(members)
+			if alive := len(members) + 1; alive != lastAlive {
 				logger.Info().Int("Alive", alive).Int("Before", lastAlive).Msg("Members")
 				lastAlive = alive
 			}
--- a/router/peers.go
+++ b/router/peers.go
@@ -1,19 +1,19 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 )
@@ -26,12 +26,14 @@
 	// maxReportsPerSecond bounds the reports that one instance sends to all peers together. The more peers there are, the fewer
 	// reports each gets.
 	maxReportsPerSecond = 400
-	// maxDatagramBytes is the largest datagram that is sent or received.
+	// maxDatagramBytes is the largest datagram that is sent to many instances: one that is not fragmented.
 	maxDatagramBytes = 1400
+	// maxHandoffBytes is the largest datagram of a hand-off, which has a count for each workspace, and the largest that is received.
+	maxHandoffBytes = 16 << 10
 )
 
 // handoffCopies is the number of peers that get a copy of counts that could not be written, so that a copy is likely to remain
-// when a failure domain is lost or the next instances stop. The choice of peers does not consider their failure domains.
+// when a failure domain is lost or the next instances stop.
 const handoffCopies = 3
 
 // message is the content of one datagram: a load report with the applied versions, or a hand-off of usage counts.
@@ -54,9 +56,12 @@
 	// stop ends receiveLoop and reportLoop.
 	stop context.CancelFunc
 
+	// handoffTurns counts the calls of HandOff.
+	handoffTurns atomic.Int64
+
 	mu sync.Mutex
-	// members are the addresses of the peers that the store lists.
-	members []string
+	// members are the peers that the store lists.
+	members []membership.Peer
 	// followers are nil until setFollowers is called.
 	followers *followers
 }
@@ -84,10 +89,10 @@
 	_ = p.conn.Close()
 }
 
-func (p *peers) setMembers(addresses []string) {
+func (p *peers) setMembers(members []membership.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members = addresses
+	p.members = members
 }
 
 // setFollowers sets the followers whose versions are compared with those of the peers.
@@ -109,14 +114,34 @@
 	all := p.peerLoads.Addresses()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all = append(all, p.members...)
+	for _, m := range p.members {
+		all = append(all, m.Address)
+	}
 	slices.Sort(all)
 	return slices.Compact(all)
 }
 
+// all returns the peers that the store lists, and those that only send reports, whose failure domain is not known.
+func (p *peers) all() []membership.Peer {
+	reporting := p.peerLoads.Addresses()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := slices.Clone(p.members)
+	listed := make(map[string]bool, len(all))
+	for _, m := range all {
+		listed[m.Address] = true
+	}
+	for _, address := range reporting {
+		if !listed[address] {
+			all = append(all, membership.Peer{Address: address})
+		}
+	}
+	return all
+}
+
 // receiveLoop receives datagrams until ctx ends. Datagrams that do not decode are counted and ignored.
 func (p *peers) receiveLoop(ctx context.Context) {
-	buffer := make([]byte, maxDatagramBytes)
+	buffer := make([]byte, maxHandoffBytes)
 	for ctx.Err() == nil {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -138,6 +163,7 @@
 	}
 	if m.Report != nil {
 		p.peerLoads.Apply(*m.Report, time.Now())
+		p.handoffs.SetIncarnation(m.Report.From, m.Report.Incarnation)
 	}
 	if m.Handoff != nil {
 		p.handoffs.Keep(*m.Handoff, p.agreedNow())
@@ -203,20 +229,21 @@
 	}
 }
 
-// HandOff sends copies of usage counts to handoffCopies peers. The peers are chosen by rendezvous hashing, so that the choice
-// changes only when peers join or leave.
+// HandOff sends copies of usage counts to handoffCopies peers in different failure domains. A copy that is marked as failed goes to one of
+// them as such, in turn, so that the peers do not all write it.
 func (p *peers) HandOff(handoffs []metering.Handoff) {
-	addresses := p.addresses()
-	key := string(p.self.Incarnation)
-	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(key+a), xxhash.Sum64String(key+b)) })
-	addresses = addresses[:min(len(addresses), handoffCopies)]
-	for _, h := range handoffs {
-		data, err := cbor.Marshal(message{Handoff: &h})
-		if err != nil || len(data) > maxDatagramBytes {
-			p.logger.Error().Int64("Window", int64(h.Window)).Int("Bytes", len(data)).Err(err).Msg("UsageNotHandedOff")
-			continue
+	chosen := membership.ChooseSpread(p.all(), string(p.self.Incarnation), handoffCopies)
+	turn := int(p.handoffTurns.Add(1))
+	for i, peer := range chosen {
+		for _, h := range handoffs {
+			h.Failed = h.Failed && i == turn%len(chosen)
+			data, err := cbor.Marshal(message{Handoff: &h})
+			if err != nil || len(data) > maxHandoffBytes {
+				p.logger.Error().Int64("Window", int64(h.Window)).Int("Bytes", len(data)).Err(err).Msg("UsageNotHandedOff")
+				continue
+			}
+			p.transmit(data, []string{peer.Address})
 		}
-		p.transmit(data, addresses)
 	}
 }
 
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/roster"
@@ -35,7 +36,7 @@
 	port := freePort(t)
 	_, received := newInstance("receiver", port)
 	sender, _ := newInstance("sender", freePort(t))
-	sender.setMembers([]string{fmt.Sprintf("127.0.0.1:%d", port)})
+	sender.setMembers([]membership.Peer{{Address: fmt.Sprintf("127.0.0.1:%d", port), Domain: "a"}})
 	sender.HandOff([]metering.Handoff{{Instance: "sender", Incarnation: "sender", Window: 1, Counts: metering.Counts{"w": 3}, Made: agreed.UnixMilli()}})
 	for deadline := time.Now().Add(waitTimeout); len(received.All()) == 0; <-time.After(pollInterval) {
 		if time.Now().After(deadline) {
--- a/router/usage.go
+++ b/router/usage.go
@@ -26,23 +26,30 @@
 }
 
 // run writes the counts periodically until ctx ends, and once more then. Counts are written only once the clock
-// has the agreed time.
+// has the agreed time. Between the writes, peers get copies of the counts.
 func (u *usageWriter) run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	ticker := time.NewTicker(metering.CopyInterval)
+	defer ticker.Stop()
+	nextWrite := time.Now()
 	for {
+		now := time.Now()
+		if now.Before(nextWrite) {
+			_ = protect(u.logger, "usage", func() { u.copyToPeers(ctx) })
+		} else {
+			nextWrite = now.Add(membership.UsageWriteInterval(u.liveInstances()))
+			_ = protect(u.logger, "usage", func() { u.write(ctx) })
+		}
 		select {
 		case <-ctx.Done():
 			u.close()
 			return
-		case <-timer.C:
+		case <-ticker.C:
 		}
-		_ = protect(u.logger, "usage", func() { u.step(ctx) })
-		timer.Reset(membership.UsageWriteInterval(u.liveInstances()))
 	}
 }
 
-func (u *usageWriter) step(ctx context.Context) {
+// write writes the counts, after obtaining the agreed time if that is still to be done.
+func (u *usageWriter) write(ctx context.Context) {
 	if !u.clock.Agreed() {
 		if err := u.clock.Agree(ctx, u.store); err != nil {
 			u.logger.Warn().Err(err).Msg("TimeNotAgreed")
@@ -51,15 +58,28 @@
 		u.logger.Info().Time("Now", u.clock.Now()).Msg("TimeAgreed")
 	}
 	writtenForPeers, err := u.writer.Step(ctx, u.clock.Now())
+	u.logWritten(writtenForPeers, err)
+	if err == nil {
+		u.counter.Forget(u.clock.Now().Add(-countRetention))
+	}
+}
+
+// copyToPeers hands the counts that are not written off to peers.
+func (u *usageWriter) copyToPeers(ctx context.Context) {
+	if u.clock.Agreed() {
+		u.logWritten(u.writer.Copy(ctx, u.clock.Now()))
+	}
+}
+
+// logWritten logs the hand-offs that were written for peers and the error of a write.
+func (u *usageWriter) logWritten(writtenForPeers []metering.Handoff, err error) {
 	for _, h := range writtenForPeers {
-		u.logger.Info().Str("Owner", string(h.Instance)).Int64("Window", int64(h.Window)).Int64("Made", h.Made).Bool("Final", h.Final).
-			Msg("UsageWrittenForPeer")
+		u.logger.Info().Str("Owner", string(h.Instance)).Int64("Window", int64(h.Window)).Int64("Made", h.Made).
+			Bool("Final", h.Final).Bool("Failed", h.Failed).Msg("UsageWrittenForPeer")
 	}
 	if err != nil {
 		u.logger.Warn().Err(err).Msg("UsageNotWritten")
-		return
 	}
-	u.counter.Forget(u.clock.Now().Add(-countRetention))
 }
 
 // close writes the counts for the last time, or hands them off to peers if the write fails. An instance that never
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -40,6 +39,13 @@
 	Seen int64
 }
 
+// Peer is another instance that is alive.
+type Peer struct {
+	// Address is where the instance receives the reports of its peers.
+	Address string
+	Domain  wire.DomainName
+}
+
 // Registration refreshes the row of one instance. It is not safe for concurrent use.
 type Registration struct {
 	table    Table
@@ -55,9 +61,8 @@
 	return &Registration{table: t, instance: instance, domain: domain, address: address, now: now}
 }
 
-// Refresh writes the instance's row and returns the addresses of the other instances that are alive. It also removes stale and
-// undecodable rows.
-func (r *Registration) Refresh(ctx context.Context) ([]string, error) {
+// Refresh writes the instance's row and returns the other instances that are alive. It also removes stale and undecodable rows.
+func (r *Registration) Refresh(ctx context.Context) ([]Peer, error) {
 	value, err := json.Marshal(member{Domain: r.domain, Address: r.address, Seen: r.now().UnixMilli()})
 	if err != nil {
 		return nil, err
@@ -67,14 +72,14 @@
 		return nil, err
 	}
 	tx := wire.TransactRequest{Writes: []wire.Write{{Table: TableName, Key: string(r.instance), Value: value}}}
-	peers := []string{}
+	peers := []Peer{}
 	for _, row := range rows {
 		if row.Key == string(r.instance) {
 			continue
 		}
 		var m member
 		if err := json.Unmarshal(row.Value, &m); err == nil && r.now().Sub(time.UnixMilli(m.Seen)) < staleAfter {
-			peers = append(peers, m.Address)
+			peers = append(peers, Peer{Address: m.Address, Domain: m.Domain})
 			continue
 		}
 		if len(tx.Writes) <= maxPruned {
@@ -87,8 +92,12 @@
 	if err != nil {
 		return peers, err
 	}
-	if !answer.Committed {
-		return peers, fmt.Errorf("refresh member row %s: a stale row to be removed was refreshed at the same time", r.instance)
+	if answer.Committed {
+		return peers, nil
+	}
+	// A stale row has been refreshed since it was read. The next refresh removes those that are still stale.
+	if _, err := r.table.Transact(ctx, wire.TransactRequest{Writes: tx.Writes[:1]}); err != nil {
+		return peers, err
 	}
 	return peers, nil
 }
--- a/serving/membership/members_test.go
+++ b/serving/membership/members_test.go
@@ -49,3 +49,31 @@
 		t.Errorf("got %v, %v", peers, err)
 	}
 }
+
+// TestRowRefreshedMeanwhileDoesNotFailOwnRefresh refreshes a stale row of another instance between the read and the write of a refresh,
+// which would remove it. The other row has to stay, and the own row has to be written.
+func TestRowRefreshedMeanwhileDoesNotFailOwnRefresh(t *testing.T) {
+	table := tabletest.New()
+	now := time.Unix(1e9, 0)
+	clock := func() time.Time { return now }
+	own := membership.NewRegistration(table, "a", "d", "a:1", clock)
+	other := membership.NewRegistration(table, "b", "d", "b:1", clock)
+	if _, err := other.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(time.Hour)
+	calls := 0
+	table.Delay = func() {
+		// Range calls Delay before and after it reads.
+		if calls++; calls == 2 {
+			row := table.Rows(membership.TableName, "b")[0]
+			table.Commit(wire.TransactRequest{Writes: []wire.Write{{Table: membership.TableName, Key: "b", Value: row.Value}}})
+		}
+	}
+	if _, err := own.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if rows := table.Rows(membership.TableName, ""); len(rows) != 2 {
+		t.Errorf("%d rows are left, want that of each instance", len(rows))
+	}
+}
--- a/serving/metering/counter.go
+++ b/serving/metering/counter.go
@@ -29,12 +29,16 @@
 
 	mu      sync.Mutex
 	windows map[Window]Counts
+	// changed holds when the counts of each window last changed.
+	changed map[Window]time.Time
 	// dirty are the windows whose counts in the store are missing or too low.
 	dirty map[Window]bool
 	// revisions are the revisions of the windows' rows in the store, 0 for a window without a row.
 	revisions map[Window]wire.Revision
-	// handedOff are the windows whose counts were handed off to peers and not withdrawn since.
-	handedOff map[Window]bool
+	// handedOff are the windows whose counts were handed off to peers, with the number of withdrawals that are still to be sent.
+	handedOff map[Window]int
+	// finished is set once the incarnation counts no more requests.
+	finished bool
 }
 
 // NewCounter returns a counter for windows of the given length. The function now returns the time that all instances agree on.
@@ -43,9 +47,10 @@
 		length:    length,
 		now:       now,
 		windows:   map[Window]Counts{},
+		changed:   map[Window]time.Time{},
 		dirty:     map[Window]bool{},
 		revisions: map[Window]wire.Revision{},
-		handedOff: map[Window]bool{},
+		handedOff: map[Window]int{},
 	}
 }
 
@@ -66,14 +71,36 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.At(c.now())
+	now := c.now()
+	w := c.At(now)
 	if c.windows[w] == nil {
 		c.windows[w] = Counts{}
 	}
 	c.windows[w][workspace]++
+	c.changed[w] = now
 	c.dirty[w] = true
 }
 
+// Finish records that the incarnation counts no more requests. The row of the present window has to be written once more, as no later
+// window waits for an incarnation that has ended.
+func (c *Counter) Finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.At(c.now())
+	if c.windows[w] == nil {
+		c.windows[w] = Counts{}
+	}
+	c.dirty[w] = true
+	c.finished = true
+}
+
+// hasFinished reports whether Finish was called.
+func (c *Counter) hasFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.finished
+}
+
 // Dirty returns the current counts of the windows that have changed since they were last marked as written.
 func (c *Counter) Dirty() map[Window]Counts {
 	c.mu.Lock()
@@ -85,6 +112,19 @@
 	return list
 }
 
+// isUnknown reports whether a window has unwritten counts although the store has no row of the incarnation for it or the window before.
+// No reporter waits for such an incarnation.
+func (c *Counter) isUnknown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for w := range c.dirty {
+		if c.revisions[w] == 0 && c.revisions[w-1] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // MarkWritten marks counts as written with a revision. A window whose counts have risen in the meantime stays dirty.
 func (c *Counter) MarkWritten(written map[Window]Counts, revision wire.Revision) {
 	c.mu.Lock()
@@ -104,6 +144,7 @@
 	for w := range c.windows {
 		if !c.dirty[w] && c.End(w).Before(before) {
 			delete(c.windows, w)
+			delete(c.changed, w)
 			delete(c.revisions, w)
 		}
 	}
--- a/serving/metering/handoff.go
+++ b/serving/metering/handoff.go
@@ -5,20 +5,25 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"sync"
 	"time"
 
 	"cowslipshunt.example/wire"
 )
 
+// CopyInterval is the interval at which an instance repeats the hand-offs of its counts to its peers.
+const CopyInterval = 500 * time.Millisecond
+
 // ownerTimeout is how long after the last copy of a hand-off its owner counts as unable to write it: a running owner repeats
-// or withdraws its hand-offs every few seconds.
-const ownerTimeout = 5 * time.Second
+// or withdraws its hand-offs every CopyInterval.
+const ownerTimeout = 3 * CopyInterval
+
+// withdrawals is how often the withdrawal of a hand-off is sent, as a datagram may be lost.
+const withdrawals = 3
 
 // handoffLifetime is how long a hand-off that cannot be written is kept. Its window has been reported by then.
 const handoffLifetime = 30 * time.Second
 
-// Handoff is a copy of counts that their owner could not write, for a peer to write if the owner does not. The counts of one
+// Handoff is a copy of counts that their owner has not written yet, for a peer to write if the owner does not. The counts of one
 // incarnation in a window only rise, so writing a copy twice or late does no harm.
 type Handoff struct {
 	_           struct{} `cbor:",toarray"`
@@ -31,8 +36,12 @@
 	Revision wire.Revision
 	// Made is the agreed time at which the copy was made, in Unix milliseconds.
 	Made int64
+	// Changed is the agreed time of the last change of the counts, in Unix milliseconds.
+	Changed int64
 	// Final is set if the owner is stopping and will not write the counts.
 	Final bool
+	// Failed is set if the owner could not write the counts, so that the receiver should do so at once. Of several copies, one has it.
+	Failed bool
 }
 
 func (h *Handoff) key() string {
@@ -44,8 +53,8 @@
 	return Handoff{Instance: h.Instance, Incarnation: h.Incarnation, Window: h.Window, Made: h.Made}
 }
 
-// HandOff returns hand-offs of all windows whose counts are not written. They are marked as final if the instance is stopping.
-func (c *Counter) HandOff(instance wire.InstanceName, incarnation wire.IncarnationId, final bool) []Handoff {
+// HandOff returns hand-offs of all windows whose counts are not written.
+func (c *Counter) HandOff(instance wire.InstanceName, incarnation wire.IncarnationId) []Handoff {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	made := c.now().UnixMilli()
@@ -58,150 +67,88 @@
 			Counts:      maps.Clone(c.windows[w]),
 			Revision:    c.revisions[w],
 			Made:        made,
-			Final:       final,
+			Changed:     c.changed[w].UnixMilli(),
 		})
-		c.handedOff[w] = true
+		c.handedOff[w] = withdrawals
 	}
 	return list
 }
 
-// Withdraw returns the messages that withdraw the hand-offs of windows that have been written since.
+// Withdraw returns the messages that withdraw the hand-offs of windows that have been written since. Each is returned by several
+// calls.
 func (c *Counter) Withdraw(instance wire.InstanceName, incarnation wire.IncarnationId) []Handoff {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	made := c.now().UnixMilli()
 	var list []Handoff
-	for w := range c.handedOff {
-		if !c.dirty[w] {
-			list = append(list, Handoff{Instance: instance, Incarnation: incarnation, Window: w, Made: made})
-			delete(c.handedOff, w)
+	for w, left := range c.handedOff {
+		if c.dirty[w] {
+			continue
 		}
-	}
-	return list
-}
-
-// Handoffs are the hand-offs that an instance keeps for its peers. They are safe for concurrent use.
-type Handoffs struct {
-	// self is the instance's own incarnation. Hand-offs of it, which a stopping peer may send back, are ignored.
-	self wire.IncarnationId
-
-	mu   sync.Mutex
-	held map[string]*heldHandoff
-}
-
-// heldHandoff is a hand-off and the agreed time at which it was received.
-type heldHandoff struct {
-	Handoff
-	received time.Time
-}
-
-// NewHandoffs returns an empty collection for an incarnation of an instance.
-func NewHandoffs(self wire.IncarnationId) *Handoffs {
-	return &Handoffs{self: self, held: map[string]*heldHandoff{}}
-}
-
-// Keep stores a hand-off in place of an older one of the same counts, or removes the one that it withdraws. It does nothing if a
-// newer one is stored. The time now is the agreed time, as in Write.
-func (h *Handoffs) Keep(x Handoff, now time.Time) {
-	if x.Incarnation == h.self {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	key := x.key()
-	if previous, ok := h.held[key]; ok && previous.Made > x.Made {
-		return
-	}
-	if len(x.Counts) == 0 {
-		delete(h.held, key)
-		return
-	}
-	h.held[key] = &heldHandoff{Handoff: x, received: now}
-}
-
-// All returns all hand-offs, which a stopping instance sends to other peers.
-func (h *Handoffs) All() []Handoff {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	list := make([]Handoff, 0, len(h.held))
-	for _, x := range h.held {
-		list = append(list, x.Handoff)
-	}
-	return list
-}
-
-// Write stores the hand-offs whose owners cannot write them, and returns those that it stored. It must be called before the
-// instance writes its own counts, because a window counts as complete once every instance has written counts of the next one.
-func (h *Handoffs) Write(ctx context.Context, t Table, now time.Time) ([]Handoff, error) {
-	var written []Handoff
-	for _, x := range h.orphaned(now) {
-		stored, err := x.write(ctx, t)
-		if err != nil {
-			return written, err
-		}
-		if stored {
-			written = append(written, x.Handoff)
-		}
-		h.remove(x)
-	}
-	return written, nil
-}
-
-// orphaned returns the hand-offs whose owners have stopped or timed out, and removes those past their lifetime.
-func (h *Handoffs) orphaned(now time.Time) []*heldHandoff {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var list []*heldHandoff
-	for key, x := range h.held {
-		age := now.Sub(x.received)
-		switch {
-		case age > handoffLifetime:
-			delete(h.held, key)
-		case x.Final || age > ownerTimeout:
-			list = append(list, x)
+		list = append(list, Handoff{Instance: instance, Incarnation: incarnation, Window: w, Made: made})
+		if c.handedOff[w] = left - 1; left == 1 {
+			delete(c.handedOff, w)
 		}
 	}
 	return list
 }
 
-// remove removes a hand-off unless a newer one has replaced it.
-func (h *Handoffs) remove(x *heldHandoff) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if key := x.key(); h.held[key] == x {
-		delete(h.held, key)
-	}
-}
-
-// write stores the counts and reports whether it did. It does not if the stored row covers them, or if the row was
-// removed because its window has been reported.
+// write stores the counts and reports whether it did. It does not if the stored row covers them, if the row was removed because its
+// window has been reported, or if the window was frozen with these counts.
 func (h *Handoff) write(ctx context.Context, t Table) (bool, error) {
-	counts, revision := h.Counts, h.Revision
-	for range writeAttempts {
-		value, err := json.Marshal(countRow{Counts: counts, Written: time.UnixMilli(h.Made).UTC()})
+	counts := h.Counts
+	row := wire.Check{Table: CountTable, Key: h.key(), Revision: h.Revision}
+	notFrozen := wire.Check{Table: WindowTable, Key: windowKey(h.Window)}
+	checks := []wire.Check{row, notFrozen}
+	for range handoffWriteAttempts {
+		value, err := json.Marshal(countRow{Counts: counts, Written: time.UnixMilli(h.Made).UTC(), Ended: h.Final})
 		if err != nil {
 			return false, err
 		}
 		answer, err := t.Transact(ctx, wire.TransactRequest{
-			Checks: []wire.Check{{Table: CountTable, Key: h.key(), Revision: revision}},
+			Checks: checks,
 			Writes: []wire.Write{{Table: CountTable, Key: h.key(), Value: value}},
 		})
 		if err != nil || answer.Committed {
 			return err == nil, err
 		}
-		if len(answer.Conflicts) == 0 || answer.Conflicts[0].Revision == 0 {
-			return false, nil
-		}
-		_, _, row, err := decodeCounts(answer.Conflicts[0])
-		if err != nil {
-			return false, err
-		}
-		if row.Counts.covers(h.Counts) {
-			return false, nil
+		for _, conflict := range answer.Conflicts {
+			if conflict.Table == WindowTable {
+				if included, err := h.includedIn(conflict); err != nil || included {
+					return false, err
+				}
+				// The counts are too late for their window. The reporter finds and logs them.
+				checks = checks[:1]
+				continue
+			}
+			if conflict.Revision == 0 {
+				return false, nil
+			}
+			_, _, stored, err := decodeCounts(conflict)
+			if err != nil {
+				return false, err
+			}
+			if stored.Counts.covers(h.Counts) {
+				return false, nil
+			}
+			counts, checks[0].Revision = stored.Counts.merge(h.Counts), conflict.Revision
 		}
-		counts, revision = row.Counts.merge(h.Counts), answer.Conflicts[0].Revision
 	}
-	return false, fmt.Errorf("write handed-off usage counts %s: the row still conflicts after %d attempts", h.key(), writeAttempts)
+	return false, fmt.Errorf("write handed-off usage counts %s: the row still conflicts after %d attempts", h.key(), handoffWriteAttempts)
+}
+
+// handoffWriteAttempts is how often the write of a hand-off is attempted: a conflict with each of the two rows that it checks, and one
+// with a write at the same time.
+const handoffWriteAttempts = 4
+
+// includedIn reports whether a frozen window includes the counts, or those that the owner wrote later.
+func (h *Handoff) includedIn(row wire.Row) (bool, error) {
+	var w windowRow
+	if err := json.Unmarshal(row.Value, &w); err != nil {
+		return false, fmt.Errorf("decode usage window %s: %w", row.Key, err)
+	}
+	written, included := w.Sources[string(h.Instance)+"/"+string(h.Incarnation)]
+	return included && written.UnixMilli() >= h.Changed, nil
 }
 
 // covers reports whether no workspace has a lower count in c than in others.
--- a/serving/metering/handoff_test.go
+++ b/serving/metering/handoff_test.go
@@ -1,12 +1,14 @@
 package metering_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/shared/tabletest"
+	"cowslipshunt.example/wire"
 	"pgregory.net/rapid"
 )
 
@@ -65,8 +67,21 @@
 	return written
 }
 
+// putWindow stores a frozen window with its sources and their last writes.
+func (h *handoffFixture) putWindow(w metering.Window, sources map[string]time.Time) {
+	h.t.Helper()
+	value, err := json.Marshal(map[string]any{"Window": w, "Sources": sources, "Reported": true})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	write := wire.Write{Table: metering.WindowTable, Key: fmt.Sprintf("%012d", w), Value: value}
+	if _, err := h.table.Transact(h.t.Context(), wire.TransactRequest{Writes: []wire.Write{write}}); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
 func handoff(made time.Time, n int, final bool) metering.Handoff {
-	return metering.Handoff{Instance: "i", Incarnation: "1", Window: 7, Counts: metering.Counts{"w": n}, Made: made.UnixMilli(), Final: final}
+	return metering.Handoff{Instance: "i", Incarnation: "1", Window: 7, Counts: metering.Counts{"w": n}, Made: made.UnixMilli(), Changed: made.UnixMilli(), Final: final}
 }
 
 func TestHandoffOfRunningOwnerIsNotWritten(t *testing.T) {
@@ -106,11 +121,11 @@
 		name            string
 		owner, handoff  int
 		revisionIsKnown bool
-		want            int
+		want            string
 	}{
-		{"the owner wrote more after a copy was lost", 5, 3, false, 5},
-		{"the owner's last write was lost", 3, 5, true, 5},
-		{"the owner's write took effect without an answer", 3, 5, false, 5},
+		{"the owner wrote more after a copy was lost", 5, 3, false, `{"Counts":{"w":5},"Written":"2001-09-09T01:46:40Z"}`},
+		{"the owner's last write was lost", 3, 5, true, `{"Counts":{"w":5},"Written":"2001-09-09T01:46:40Z","Ended":true}`},
+		{"the owner's write took effect without an answer", 3, 5, false, `{"Counts":{"w":5},"Written":"2001-09-09T01:46:40Z","Ended":true}`},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -129,9 +144,8 @@
 			}
 			h.handoffs.Keep(x, now)
 			h.write(now)
-			want := fmt.Sprintf(`{"Counts":{"w":%d},"Written":"2001-09-09T01:46:40Z"}`, test.want)
-			if rows := h.table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != want {
-				t.Errorf("got %s, want %s", rows[0].Value, want)
+			if rows := h.table.Rows(metering.CountTable, ""); len(rows) != 1 || string(rows[0].Value) != test.want {
+				t.Errorf("got %s, want %s", rows[0].Value, test.want)
 			}
 		})
 	}
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"strings"
 	"time"
 
 	"cowslipshunt.example/wire"
@@ -44,20 +43,20 @@
 	Counts Counts
 	Epoch  wire.Epoch
 	// Sources are the rows that were added up: the part of their key after the window, with the agreed time of their last write.
-	Sources  map[string]time.Time
+	Sources map[string]time.Time
+	// Ended are the sources that count no more requests.
+	Ended    []string `json:",omitempty"`
 	Reported bool
 }
 
-// writers returns the instances that wrote counts of the window, with the time of the last write of each.
-func (w *windowRow) writers() map[wire.InstanceName]time.Time {
-	last := map[wire.InstanceName]time.Time{}
-	for source, written := range w.Sources {
-		instance, _, _ := strings.Cut(source, "/")
-		if name := wire.InstanceName(instance); written.After(last[name]) {
-			last[name] = written
-		}
+// writers returns the sources of the window that have not ended, with the time of the last write of each.
+func (w *windowRow) writers() map[string]time.Time {
+	writers := make(map[string]time.Time, len(w.Sources))
+	maps.Copy(writers, w.Sources)
+	for _, source := range w.Ended {
+		delete(writers, source)
 	}
-	return last
+	return writers
 }
 
 // frozenWindow is the row of a frozen window and its revision.
@@ -88,7 +87,7 @@
 	unreported []frozenWindow
 	kept       []Window
 	// lastWriters are the writers of the last frozen window, nil if not known.
-	lastWriters map[wire.InstanceName]time.Time
+	lastWriters map[string]time.Time
 }
 
 // Bounds limit how long a window waits for instances that have not written its counts.
@@ -178,7 +177,9 @@
 		if err != nil {
 			return err
 		}
-		if !sum.complete(r.lastWriters, now.Add(-r.bounds.GoneTimeout)) && now.Before(r.counter.End(r.next).Add(r.bounds.FreezeDelay)) {
+		end := r.counter.End(r.next)
+		waitForSuperseded := now.Before(end.Add(supersededDelay))
+		if !sum.complete(r.lastWriters, now.Add(-r.bounds.GoneTimeout), waitForSuperseded) && now.Before(end.Add(r.bounds.FreezeDelay)) {
 			return nil
 		}
 		if err := r.freeze(ctx, sum); err != nil {
--- a/serving/metering/reporter_test.go
+++ b/serving/metering/reporter_test.go
@@ -61,7 +61,35 @@
 	reporter    *metering.Reporter
 	handoffs    *metering.Handoffs
 	writer      *metering.Writer
-	model       *usageModel
+	// nextWrite is when the next call of writer.Step is due.
+	nextWrite time.Time
+	// cutOff makes all of the instance's calls to the store fail.
+	cutOff bool
+	model  *usageModel
+}
+
+// Range reads from the table of the model unless the instance is cut off.
+func (i *instance) Range(ctx context.Context, table, from, to string) ([]wire.Row, error) {
+	if i.cutOff {
+		return nil, tabletest.ErrFault
+	}
+	return i.model.table.Range(ctx, table, from, to)
+}
+
+// Read reads from the table of the model unless the instance is cut off.
+func (i *instance) Read(ctx context.Context, table string, keys ...string) ([]wire.Row, error) {
+	if i.cutOff {
+		return nil, tabletest.ErrFault
+	}
+	return i.model.table.Read(ctx, table, keys...)
+}
+
+// Transact writes to the table of the model unless the instance is cut off.
+func (i *instance) Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error) {
+	if i.cutOff {
+		return wire.TransactAnswer{}, tabletest.ErrFault
+	}
+	return i.model.table.Transact(ctx, r)
 }
 
 // HandOff delivers hand-offs to the other instances.
@@ -69,7 +97,9 @@
 	for _, other := range i.model.instances {
 		if other != i {
 			for _, x := range list {
-				other.handoffs.Keep(x, i.model.clock.now)
+				if lost := i.model.losesDatagram; lost == nil || !lost() {
+					other.handoffs.Keep(x, i.model.clock.now)
+				}
 			}
 		}
 	}
@@ -87,13 +117,25 @@
 	faultless bool
 	// storeDown makes the store reject every call.
 	storeDown bool
+	// bounds are those of the reporters.
+	bounds metering.Bounds
+	// writeInterval is the interval of the calls of Writer.Step; between them, counts are copied to the peers.
+	writeInterval time.Duration
+	// silentRestarts is set if the others do not hear of the new incarnation of a killed instance.
+	silentRestarts bool
+	// losesDatagram decides for each hand-off whether it is lost on the way to a peer; nil loses none.
+	losesDatagram func() bool
 	// begun counts the requests that began, late those that reporters found too late to report.
 	begun map[metering.Window]int
 	late  map[metering.Window]int
 }
 
 func newUsageModel(t *rapid.T) *usageModel {
-	m := &usageModel{t: t, clock: &clock{now: time.Unix(1e9, 0)}, table: tabletest.New(), begun: map[metering.Window]int{}, late: map[metering.Window]int{}}
+	return newUsageModelWithBounds(t, metering.Bounds{FreezeDelay: settle, GoneTimeout: gone})
+}
+
+func newUsageModelWithBounds(t *rapid.T, b metering.Bounds) *usageModel {
+	m := &usageModel{t: t, bounds: b, clock: &clock{now: time.Unix(1e9, 0)}, table: tabletest.New(), begun: map[metering.Window]int{}, late: map[metering.Window]int{}}
 	m.table.Fault = m.fault
 	m.table.QueryFails = func() bool { return m.storeDown || !m.faultless && rapid.IntRange(0, 19).Draw(t, "query") == 0 }
 	m.platform = &platform{t: t, reports: map[metering.Window]metering.Counts{}}
@@ -119,11 +161,11 @@
 	i := &instance{name: wire.InstanceName(fmt.Sprint("machine", n)), incarnation: wire.IncarnationId(fmt.Sprint(m.started)), model: m}
 	i.counter = metering.NewCounter(windowLength, m.clock.Now)
 	self := lease.Identity{Instance: i.name, Incarnation: i.incarnation}
-	i.keeper = lease.NewKeeper("duties", self, m.table, m.clock)
-	i.reporter = metering.NewReporter(m.table, i.keeper, m.platform, i.counter, metering.Bounds{FreezeDelay: settle, GoneTimeout: gone},
+	i.keeper = lease.NewKeeper("duties", self, i, m.clock)
+	i.reporter = metering.NewReporter(i, i.keeper, m.platform, i.counter, m.bounds,
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }))
 	i.handoffs = metering.NewHandoffs(i.incarnation)
-	i.writer = metering.NewWriter(m.table, i.counter, i.handoffs, i, i.name, i.incarnation)
+	i.writer = metering.NewWriter(i, i.counter, i.handoffs, i, i.name, i.incarnation)
 	return i
 }
 
@@ -133,14 +175,25 @@
 }
 
 func (m *usageModel) step(i *instance) {
-	_, _ = i.writer.Step(m.t.Context(), m.clock.now)
+	if m.clock.now.Before(i.nextWrite) {
+		_, _ = i.writer.Copy(m.t.Context(), m.clock.now)
+	} else {
+		i.nextWrite = m.clock.now.Add(m.writeInterval)
+		_, _ = i.writer.Step(m.t.Context(), m.clock.now)
+	}
 	_ = i.keeper.Step(m.t.Context())
 	_ = i.reporter.Step(m.t.Context())
 }
 
-// kill replaces an incarnation with a new one. Counts that the old one had not written are lost.
+// kill replaces an incarnation with a new one, of which the others hear. Counts that the old one had neither written nor copied are lost.
 func (m *usageModel) kill(n int) {
 	m.instances[n] = m.start(n)
+	if m.silentRestarts {
+		return
+	}
+	for _, i := range m.instances {
+		i.handoffs.SetIncarnation(m.instances[n].name, m.instances[n].incarnation)
+	}
 }
 
 // stop shuts an incarnation down gracefully and replaces it with a new one.
@@ -161,6 +214,7 @@
 func TestEachWindowHasOneSetOfCountsUnderKillsAndLostAnswers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newUsageModel(t)
+		m.losesDatagram = func() bool { return rapid.IntRange(0, 9).Draw(t, "datagram") == 0 }
 		randomIndex := func() int { return rapid.IntRange(0, len(m.instances)-1).Draw(t, "instance") }
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(*rapid.T) {},
@@ -175,6 +229,9 @@
 			"kill": func(*rapid.T) { m.kill(randomIndex()) },
 			"stop": func(*rapid.T) { m.stop(randomIndex()) },
 			"down": func(*rapid.T) { m.storeDown = !m.storeDown },
+			"interval": func(*rapid.T) {
+				m.writeInterval = time.Duration(rapid.IntRange(0, 4).Draw(t, "interval")) * time.Second
+			},
 		})
 		m.faultless, m.storeDown = true, false
 		m.run(30 * time.Second)
--- a/serving/metering/rows.go
+++ b/serving/metering/rows.go
@@ -31,6 +31,8 @@
 	Counts Counts
 	// Written is the agreed time of the write.
 	Written time.Time
+	// Ended is set if the incarnation counts no more requests.
+	Ended bool `json:",omitempty"`
 }
 
 // windowKey returns the key of a window's row, which is also the prefix of the keys of its counts. It is padded with zeros so that
@@ -56,6 +58,12 @@
 	return Window(n), source, err
 }
 
+// sourceInstance returns the instance of a source.
+func sourceInstance(source string) wire.InstanceName {
+	instance, _, _ := strings.Cut(source, "/")
+	return wire.InstanceName(instance)
+}
+
 // Write stores one incarnation's counts of the windows that have changed since they were last written. Each write checks the
 // revision of the row that it replaces, so that a write whose answer was lost and that takes effect late cannot overwrite newer
 // counts.
@@ -90,7 +98,7 @@
 func (c *Counter) transaction(dirty map[Window]Counts, instance wire.InstanceName, incarnation wire.IncarnationId) (wire.TransactRequest, error) {
 	var r wire.TransactRequest
 	for w, counts := range dirty {
-		value, err := json.Marshal(countRow{Counts: counts, Written: c.now().UTC()})
+		value, err := json.Marshal(countRow{Counts: counts, Written: c.now().UTC(), Ended: c.hasFinished()})
 		if err != nil {
 			return r, err
 		}
--- a/serving/metering/writer.go
+++ b/serving/metering/writer.go
@@ -13,9 +13,8 @@
 	HandOff(list []Handoff)
 }
 
-// Writer stores the counts of one incarnation, and those that peers have handed off to it. While writes to the store fail, it
-// hands its own counts off to peers, so that an instance that stops or crashes during an outage loses few. It is not safe for
-// concurrent use.
+// Writer stores the counts of one incarnation, and those that peers have handed off to it. Until its own counts are stored, it hands
+// them off to peers, so that an instance that is killed loses few. It is not safe for concurrent use.
 type Writer struct {
 	table       Table
 	counter     *Counter
@@ -23,6 +22,8 @@
 	peers       Peers
 	instance    wire.InstanceName
 	incarnation wire.IncarnationId
+	// failing is set while the last write failed. Hand-offs are then written by Step only.
+	failing bool
 }
 
 // NewWriter returns a Writer of the counts of one incarnation of an instance.
@@ -31,27 +32,66 @@
 }
 
 // Step writes the counts that have changed, and the hand-offs whose owners cannot write them. It returns the hand-offs that it
-// stored. After an error some counts are not written yet.
+// stored. After an error some counts are not written yet; a peer is asked to write them.
 func (w *Writer) Step(ctx context.Context, now time.Time) ([]Handoff, error) {
 	written, err := w.write(ctx, now)
-	list := w.counter.Withdraw(w.instance, w.incarnation)
-	for _, x := range written {
-		list = append(list, x.withdrawn())
-	}
+	w.failing = err != nil
+	list := w.withdraw(written)
 	if err != nil {
-		list = append(list, w.counter.HandOff(w.instance, w.incarnation, false)...)
+		for _, x := range w.unwritten() {
+			x.Failed = true
+			list = append(list, x)
+		}
 	}
 	w.handOff(list)
 	return written, err
 }
 
-// Close writes for the last time. If that fails, it hands everything off to peers, including the hand-offs that it keeps for
-// others.
+// Copy hands the counts that are not written off to peers. Unless the last write failed, it also writes the hand-offs whose owners cannot
+// write them, and returns those. It is called every CopyInterval between the calls of Step, and acts like Step if no reporter knows of the
+// incarnation's counts yet.
+func (w *Writer) Copy(ctx context.Context, now time.Time) ([]Handoff, error) {
+	if !w.failing && w.counter.isUnknown() {
+		return w.Step(ctx, now)
+	}
+	var written []Handoff
+	var err error
+	if !w.failing {
+		written, err = w.handoffs.Write(ctx, w.table, now)
+		w.failing = err != nil
+	}
+	w.handOff(append(w.withdraw(written), w.unwritten()...))
+	return written, err
+}
+
+// unwritten returns hand-offs of the own counts that are not written.
+func (w *Writer) unwritten() []Handoff {
+	list := w.counter.HandOff(w.instance, w.incarnation)
+	for i := range list {
+		list[i].Final = w.counter.hasFinished()
+	}
+	return list
+}
+
+// withdraw returns the withdrawals of own counts that are written and of the hand-offs that were written now.
+func (w *Writer) withdraw(written []Handoff) []Handoff {
+	list := w.counter.Withdraw(w.instance, w.incarnation)
+	for _, x := range written {
+		list = append(list, x.withdrawn())
+	}
+	return list
+}
+
+// Close writes for the last time, and marks the incarnation as ended. If that fails, it hands everything off to peers, including the
+// hand-offs that it keeps for others.
 func (w *Writer) Close(ctx context.Context, now time.Time) error {
-	_, err := w.write(ctx, now)
+	w.counter.Finish()
+	written, err := w.write(ctx, now)
+	list := w.withdraw(written)
 	if err != nil {
-		w.handOff(append(w.counter.HandOff(w.instance, w.incarnation, true), w.handoffs.All()...))
+		list = append(append(list, w.unwritten()...), w.handoffs.All()...)
 	}
+	w.handOff(list)
 	return err
 }
 
