Let two readers of each failure domain follow the store

All instances also checked the lease and took every change singly in their first seconds, as they knew no peers yet.

Change: from 30 instances on, two readers of each failure domain keep the feeds; the others apply the updates that the readers send after each answer. An update vouches for a copy for half of the time in which changes must be in force. Without one, or after a gap, a receiver asks the store as before. A configuration does not fit into an update; receivers fetch it with one call. Instances that know no peers yet batch changes for half a second and do not check the lease in their first 3.5 s.

Ruled out: updates without the reader's newest version (TestCopiesFollowTheTableOverLossyDatagrams found a copy that was vouched for though the second part of an answer was lost); treating a copy as unvouched after the receiver's own call (a second call and an open feed after each gap: 770 calls in the second after the store's history was dropped).

Tests: TestCopiesFollowTheTableOverLossyDatagrams (rapid, virtual clock; lost, late, repeated, reordered updates, a reader that freezes), TestReceiver* (router, with the store's stand-in), TestEachDomainHasTwoReaders, TestStartingInstanceDoesNotCheckTheLeaseAtOnce.

--- a/router/duties.go
+++ b/router/duties.go
@@ -72,6 +72,8 @@
 	// holdsLease is set if the lease was held at the last step.
 	holdsLease bool
 	standby    membership.Standby
+	// started is when the duties were made.
+	started time.Time
 	// scaleOrders are the last scale orders.
 	scaleOrders map[endpointGroup]sentScaleOrder
 	scalers     map[wire.ServiceName]*fleet.Scaler
@@ -90,6 +92,7 @@
 		scaleOrders: map[endpointGroup]sentScaleOrder{},
 		scalers:     map[wire.ServiceName]*fleet.Scaler{},
 		stageOrders: map[roster.Key]time.Time{},
+		started:     time.Now(),
 	}
 	freezeDelay := bounds.UsageDue * freezeTenths / 10
 	reportBounds := metering.Bounds{FreezeDelay: freezeDelay, GoneTimeout: goneFactor * freezeDelay}
@@ -119,7 +122,7 @@
 // step acquires or renews the lease if that is due. If the lease is held, step reports usage and sends the orders that are due.
 func (d *duties) step(ctx context.Context) {
 	now := time.Now()
-	if d.holdsLease || d.standby.Due(d.peerLoads.Rank(), d.peerLoads.HolderReported(now, holderTimeout), now) {
+	if d.holdsLease || d.knowsPeers(now) && d.standby.Due(d.peerLoads.Rank(), d.peerLoads.HolderReported(now, holderTimeout), now) {
 		if err := d.keeper.Step(ctx); err != nil {
 			d.standby.MarkFailed(now)
 			d.logger.Warn().Str("Lease", string(dutyLease)).Err(err).Msg("LeaseStepFailed")
@@ -151,6 +154,12 @@
 	}
 }
 
+// knowsPeers reports whether the instance has heard of its peers, or has none. Until then its rank says nothing: all instances of a
+// deployment that starts would check the lease at once.
+func (d *duties) knowsPeers(now time.Time) bool {
+	return now.Sub(d.started) >= membership.SettleTime || len(d.peerLoads.Peers()) > 0
+}
+
 // authority returns the lease holder and epoch that orders carry. It returns false unless this instance holds the lease for at
 // least orderTimeout from now.
 func (d *duties) authority() (platform.Authority, bool) {
--- /dev/null
+++ b/router/follower_store.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/membership"
+	"cowslipshunt.example/serving/replication"
+)
+
+// step makes one call to the store: it waits for changes after the last version, or reads the whole table if f is not synced.
+func (f *follower) step(ctx context.Context) error {
+	if version, synced := f.position(); synced {
+		return f.followFeed(ctx, version)
+	}
+	claimed := f.lag.Claimed()
+	all, err := f.store.ReadAll(ctx, f.table, "", "")
+	if err != nil {
+		return err
+	}
+	f.noteSuccess()
+	f.gotChanges = false
+	f.applyAll(all)
+	if !f.lag.Reread(replication.Version(all.Version), lastChange(all.Rows), claimed) {
+		f.logger.Warn().Str("Table", f.table).Int("Version", all.Version).Int("Claimed", int(claimed)).Msg("PeerVersionIgnored")
+	}
+	return nil
+}
+
+// applyAll applies the whole table, unless an update has brought the copy to a newer version in the meantime.
+func (f *follower) applyAll(all platform.Rows) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.synced = true
+	f.inbox.Vouch()
+	if all.Version < f.version {
+		return
+	}
+	f.apply(all.Rows, true)
+	f.version = all.Version
+	f.log.Reset(replication.Version(all.Version))
+}
+
+// followFeed waits for changes after a version. It returns a *feedInterruptedError if interrupt is called meanwhile.
+func (f *follower) followFeed(ctx context.Context, after int) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.setCancelFeed(cancel)
+	defer f.setCancelFeed(nil)
+	role := f.replicas.role()
+	wait := membership.FeedWait(f.liveInstances())
+	if role == replication.Reader {
+		wait = min(wait, replication.ReaderWait(f.replicas.maxSilence))
+	}
+	answer, err := f.store.Feed(ctx, f.table, after, wait)
+	if err != nil {
+		return cmp.Or(interruption(ctx), err)
+	}
+	f.noteSuccess()
+	updates := f.applyFeed(answer)
+	f.gotChanges = len(answer.Rows) > 0
+	f.lag.Applied(replication.Version(answer.Version), lastChange(answer.Rows))
+	if role == replication.Reader {
+		f.replicas.send(updates)
+	}
+	return nil
+}
+
+// applyFeed applies the rows of an answer that are newer than the copy, and returns the updates that a reader passes on.
+func (f *follower) applyFeed(answer platform.Rows) []replication.Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newer := slices.DeleteFunc(answer.Rows, func(r platform.Row) bool { return r.Version <= f.version })
+	changes := f.apply(newer, false)
+	f.version = max(f.version, answer.Version)
+	f.inbox.Vouch()
+	f.log.Append(replication.Version(f.version), changes)
+	if len(changes) == 0 {
+		return []replication.Update{f.log.Unchanged()}
+	}
+	return f.log.Latest()
+}
+
+// feedInterruptedError is the error of a feed call that was ended before the store answered.
+type feedInterruptedError struct {
+	Reason string
+}
+
+// Error names the reason.
+func (e *feedInterruptedError) Error() string {
+	return "the feed was interrupted: " + e.Reason
+}
+
+// interruption returns the *feedInterruptedError that ended a context, or nil.
+func interruption(ctx context.Context) error {
+	if interrupted, ok := context.Cause(ctx).(*feedInterruptedError); ok {
+		return interrupted
+	}
+	return nil
+}
+
+// lastChange returns the highest version of the rows, 0 if there are none.
+func lastChange(rows []platform.Row) replication.Version {
+	last := 0
+	for _, r := range rows {
+		last = max(last, r.Version)
+	}
+	return replication.Version(last)
+}
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	liveInstances := func() int { return instances }
-	go newEndpointFollower(client, d, liveInstances, newLogger(io.Discard, "error", "i")).run(ctx)
+	go newEndpointFollower(client, d, liveInstances, noReplicas(), newLogger(io.Discard, "error", "i")).run(ctx)
 	listed := func(n int) bool { return len(d.View().All()) == n }
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	liveInstances := func() int { return instances }
-	go newEndpointFollower(client, roster.NewDirectory(), liveInstances, newLogger(io.Discard, "error", "i")).run(ctx)
+	go newEndpointFollower(client, roster.NewDirectory(), liveInstances, noReplicas(), newLogger(io.Discard, "error", "i")).run(ctx)
 	<-time.After(outage)
 	// The back-off doubles from the first to the longest value, which takes five calls.
 	retries := outage.Seconds() / membership.MaxBackoff(instances, 0).Seconds()
--- a/router/members.go
+++ b/router/members.go
@@ -9,19 +9,14 @@
 	"github.com/phuslu/log"
 )
 
-const (
-	// secondRefreshDelay is the time between an instance's first and second refresh. It is shorter than
-	// membership.RefreshInterval because instances that started at the same time have written their rows by then.
-	secondRefreshDelay = 3 * time.Second
-	// leaveTimeout bounds the removal of the instance's row when the instance stops.
-	leaveTimeout = 500 * time.Millisecond
-)
+// leaveTimeout bounds the removal of the instance's row when the instance stops.
+const leaveTimeout = 500 * time.Millisecond
 
 // maintainMembership refreshes the instance's row and the list of its peers until ctx ends, and then removes the row.
 func maintainMembership(ctx context.Context, registration *membership.Registration, peers *peers, logger *log.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	lastAlive, nextDelay := 0, secondRefreshDelay
+	lastAlive, nextDelay := 0, membership.SecondRefreshDelay
 	for {
 		select {
 		case <-ctx.Done():
--- a/router/outage_test.go
+++ b/router/outage_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"cowslipshunt.example/serving/catchup"
+	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -99,7 +99,7 @@
 	x.eventually("a feed call that is not answered", func() bool { return x.store.LostFeeds() > 0 })
 	x.configure(3, "other")
 	changed := time.Now()
-	version := catchup.Version(x.store.Version())
+	version := replication.Version(x.store.Version())
 	report, err := cbor.Marshal(message{Applied: &appliedVersions{Configuration: version}})
 	if err != nil {
 		t.Fatal(err)
--- a/router/peers.go
+++ b/router/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
@@ -36,11 +36,12 @@
 // when a failure domain is lost or the next instances stop.
 const handoffCopies = 3
 
-// message is the content of one datagram: a load report with the applied versions, or a hand-off of usage counts.
+// message is the content of one datagram: a load report with the applied versions, a hand-off of usage counts, or an update of a table.
 type message struct {
-	Report  *peerload.Report  `cbor:"1,keyasint,omitempty"`
-	Handoff *metering.Handoff `cbor:"2,keyasint,omitempty"`
-	Applied *appliedVersions  `cbor:"3,keyasint,omitempty"`
+	Report  *peerload.Report    `cbor:"1,keyasint,omitempty"`
+	Handoff *metering.Handoff   `cbor:"2,keyasint,omitempty"`
+	Applied *appliedVersions    `cbor:"3,keyasint,omitempty"`
+	Update  *replication.Update `cbor:"4,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -109,31 +110,28 @@
 	return p.followers
 }
 
-// addresses returns the sorted addresses of the peers that the store lists and of those that send reports.
+// addresses returns the addresses of the peers that the store lists and of those that send reports.
 func (p *peers) addresses() []string {
-	all := p.peerLoads.Addresses()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.members {
-		all = append(all, m.Address)
+	all := p.all()
+	list := make([]string, 0, len(all))
+	for _, x := range all {
+		list = append(list, x.Address)
 	}
-	slices.Sort(all)
-	return slices.Compact(all)
+	return list
 }
 
-// all returns the peers that the store lists, and those that only send reports, whose failure domain is not known.
+// all returns the peers that the store lists and those that send reports.
 func (p *peers) all() []membership.Peer {
-	reporting := p.peerLoads.Addresses()
+	all := p.peerLoads.Peers()
+	known := make(map[string]bool, len(all))
+	for _, x := range all {
+		known[x.Address] = true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := slices.Clone(p.members)
-	listed := make(map[string]bool, len(all))
-	for _, m := range all {
-		listed[m.Address] = true
-	}
-	for _, address := range reporting {
-		if !listed[address] {
-			all = append(all, membership.Peer{Address: address})
+	for _, m := range p.members {
+		if !known[m.Address] {
+			all = append(all, m)
 		}
 	}
 	return all
@@ -168,9 +166,13 @@
 	if m.Handoff != nil {
 		p.handoffs.Keep(*m.Handoff, p.agreedNow())
 	}
-	if f := p.tableFollowers(); f != nil && m.Applied != nil {
+	f := p.tableFollowers()
+	if f != nil && m.Applied != nil {
 		f.peerApplied(*m.Applied)
 	}
+	if f != nil && m.Update != nil {
+		f.receive(m.Update)
+	}
 }
 
 // reportLoop reports this instance's load to all peers until ctx ends.
@@ -247,6 +249,34 @@
 	}
 }
 
+// replicas returns the other instances for followers of tables whose copies have to follow the store within a bound.
+func (p *peers) replicas(self membership.Peer, bound time.Duration) replicas {
+	maxSilence := replication.MaxSilence(bound)
+	return replicas{
+		role:       func() replication.Role { return replication.RoleOf(self, p.peerLoads.Peers(), maxSilence) },
+		send:       func(updates []replication.Update) { p.sendUpdates(self, updates) },
+		maxSilence: maxSilence,
+	}
+}
+
+// sendUpdates sends updates to the other instances of the failure domain of self. The receivers notice one that is lost or too long.
+func (p *peers) sendUpdates(self membership.Peer, updates []replication.Update) {
+	var addresses []string
+	for _, x := range p.all() {
+		if x.Domain == self.Domain && x.Address != self.Address {
+			addresses = append(addresses, x.Address)
+		}
+	}
+	for _, u := range updates {
+		data, err := cbor.Marshal(message{Update: &u})
+		if err != nil || len(data) > maxDatagramBytes {
+			p.logger.Error().Str("Table", u.Table).Int("Bytes", len(data)).Err(err).Msg("UpdateNotSent")
+			continue
+		}
+		p.transmit(data, addresses)
+	}
+}
+
 // transmit sends one datagram to each address. Errors are logged or counted; the datagram is not sent again.
 func (p *peers) transmit(data []byte, addresses []string) {
 	for _, address := range addresses {
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -25,7 +25,7 @@
 		self := lease.Identity{Instance: name, Incarnation: wire.IncarnationId(name)}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		handoffs := metering.NewHandoffs(self.Incarnation)
-		reporter := peerload.NewReporter(name, self.Incarnation, address, d)
+		reporter := peerload.NewReporter(name, self.Incarnation, address, "a", d)
 		p, err := newPeers(self, address, reporter, peerload.NewTable(name, d), handoffs, func() time.Time { return agreed }, newLogger(io.Discard, "error", name))
 		if err != nil {
 			t.Fatal(err)
@@ -56,12 +56,12 @@
 	d.Put(roster.Entry{Key: roster.Key{ID: "i-1", Born: 1}, Service: "s", Domain: "a", Stage: roster.Decode, Slots: 1})
 	self := lease.Identity{Instance: "self", Incarnation: "1"}
 	address := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	p, err := newPeers(self, address, peerload.NewReporter("self", "1", address, d), peerload.NewTable("self", d), metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "self"))
+	p, err := newPeers(self, address, peerload.NewReporter("self", "1", address, "a", d), peerload.NewTable("self", d), metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "self"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.close)
-	p.setFollowers(newFollowers(nil, nil, d, func() int { return 1 }, p.logger))
+	p.setFollowers(newFollowers(nil, nil, d, func() int { return 1 }, noReplicas(), p.logger))
 	return p
 }
 
--- a/router/serve.go
+++ b/router/serve.go
@@ -105,7 +105,7 @@
 	n.store = platform.NewStore(s.StoreAddress, n.agreedClock.Observe)
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreedClock.Now)
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
-	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, n.directory)
+	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
 	observer := decisionLog{logger: logger}
 	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
@@ -147,7 +147,9 @@
 // start starts the background goroutines. Those that write to the store once more when ctx ends are added to finalWrites.
 func (n *node) start(ctx context.Context, finalWrites *sync.WaitGroup) {
 	s := n.settings.Load()
-	f := newFollowers(n.store, n.relay, n.directory, n.liveInstances, n.logger)
+	self := membership.Peer{Address: s.PeerAddress, Domain: s.Domain}
+	replicas := n.peers.replicas(self, min(s.Bounds.DrainTime, s.Bounds.ConfigurationApplyTime))
+	f := newFollowers(n.store, n.relay, n.directory, n.liveInstances, replicas, n.logger)
 	n.peers.setFollowers(f)
 	go f.configuration.run(ctx)
 	go f.endpoints.run(ctx)
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -15,6 +15,7 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/membership"
 )
 
 const (
@@ -235,6 +236,17 @@
 	}
 }
 
+// TestStartingInstanceDoesNotCheckTheLeaseAtOnce guards against hundreds of calls when a large deployment starts: an instance that
+// knows no peers yet waits for them before it checks the lease.
+func TestStartingInstanceDoesNotCheckTheLeaseAtOnce(t *testing.T) {
+	x := startInstance(t, respondDone)
+	began := time.Now()
+	x.eventually("the lease", func() bool { return len(x.store.Keys("lease")) > 0 })
+	if took := time.Since(began); took < membership.SecondRefreshDelay {
+		t.Errorf("the lease was taken after %v", took)
+	}
+}
+
 // TestStopFinishesOpenRequests stops an instance while an endpoint works on a request, which must still be answered.
 func TestStopFinishesOpenRequests(t *testing.T) {
 	received, proceed := make(chan struct{}), make(chan struct{})
--- a/router/table_followers.go
+++ b/router/table_followers.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"cowslipshunt.example/platform"
-	"cowslipshunt.example/serving/catchup"
 	"cowslipshunt.example/serving/relay"
+	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/wire"
 	"github.com/phuslu/log"
@@ -18,10 +18,10 @@
 
 // newFollowers returns followers that interrupt each other's feed when one loses the store: during an outage in which the store does
 // not answer, the feed of the other may stay open long after the store has returned.
-func newFollowers(store *platform.Store, r *relay.Relay, d *roster.Directory, liveInstances func() int, logger *log.Logger) *followers {
+func newFollowers(store *platform.Store, r *relay.Relay, d *roster.Directory, liveInstances func() int, other replicas, logger *log.Logger) *followers {
 	f := &followers{
-		configuration: newConfigurationFollower(store, r, liveInstances, logger),
-		endpoints:     newEndpointFollower(store, d, liveInstances, logger),
+		configuration: newConfigurationFollower(store, r, liveInstances, other, logger),
+		endpoints:     newEndpointFollower(store, d, liveInstances, other, logger),
 	}
 	interruptOnLoss(f.configuration, f.endpoints)
 	interruptOnLoss(f.endpoints, f.configuration)
@@ -40,7 +40,7 @@
 // appliedVersions are the versions of the last changes that an instance has applied, which it reports to its peers.
 type appliedVersions struct {
 	_                        struct{} `cbor:",toarray"`
-	Configuration, Endpoints catchup.Version
+	Configuration, Endpoints replication.Version
 }
 
 // applied returns the versions of the last changes that this instance has applied.
@@ -48,22 +48,36 @@
 	return appliedVersions{Configuration: f.configuration.lag.Changed(), Endpoints: f.endpoints.lag.Changed()}
 }
 
+// receive passes an update of a reader on to the follower of its table.
+func (f *followers) receive(u *replication.Update) {
+	for _, x := range []*follower{f.configuration, f.endpoints} {
+		if x.table == u.Table {
+			x.receive(u)
+		}
+	}
+}
+
 // peerApplied records the versions that a peer reported.
 func (f *followers) peerApplied(v appliedVersions) {
 	f.configuration.lag.PeerApplied(v.Configuration)
 	f.endpoints.lag.PeerApplied(v.Endpoints)
 }
 
-// newConfigurationFollower returns a follower that applies each new version of the operator's configuration to the relay.
-func newConfigurationFollower(store *platform.Store, r *relay.Relay, liveInstances func() int, logger *log.Logger) *follower {
-	apply := func(rows []platform.Row, _ bool) {
+// newConfigurationFollower returns a follower that applies each new version of the operator's configuration to the relay. Its updates
+// have no changes, as a configuration does not fit into a datagram.
+func newConfigurationFollower(store *platform.Store, r *relay.Relay, liveInstances func() int, other replicas, logger *log.Logger) *follower {
+	f := newFollower(store, platform.OperatorTable, 0, liveInstances, other, logger)
+	f.apply = func(rows []platform.Row, _ bool) []replication.Change {
+		var changes []replication.Change
 		for _, row := range rows {
+			changes = append(changes, replication.Change{Version: replication.Version(row.Version)})
 			if row.Key == platform.ConfigurationKey && !row.Deleted {
 				applyConfiguration(row, r, logger)
 			}
 		}
+		return changes
 	}
-	return newFollower(store, platform.OperatorTable, apply, func() {}, func() {}, liveInstances, logger)
+	return f
 }
 
 func applyConfiguration(row platform.Row, r *relay.Relay, logger *log.Logger) {
@@ -81,28 +95,39 @@
 }
 
 // newEndpointFollower returns a follower that keeps the directory up to date with the platform's replica table.
-func newEndpointFollower(store *platform.Store, d *roster.Directory, liveInstances func() int, logger *log.Logger) *follower {
-	apply := func(rows []platform.Row, full bool) {
-		listed := map[wire.EndpointId]bool{}
-		d.Batch(func() {
-			for _, row := range rows {
-				if applyEndpoint(row, d, logger) {
-					listed[wire.EndpointId(row.Key)] = true
-				}
-			}
-		})
-		if !full {
-			return
+func newEndpointFollower(store *platform.Store, d *roster.Directory, liveInstances func() int, other replicas, logger *log.Logger) *follower {
+	f := newFollower(store, platform.ReplicaTable, maxUpdateChanges, liveInstances, other, logger)
+	f.apply = func(rows []platform.Row, full bool) []replication.Change {
+		changes := make([]replication.Change, 0, len(rows))
+		for _, row := range rows {
+			changes = append(changes, decodeEndpoint(row, logger))
 		}
-		for _, id := range d.Retain(listed, time.Now()) {
-			logger.Info().Str("Endpoint", string(id)).Str("Reason", "not listed").Msg("EndpointGone")
+		applyEndpoints(changes, d, logger)
+		if full {
+			retainEndpoints(changes, d, logger)
 		}
+		return changes
 	}
-	onRegained := func() {
+	f.applyChanges = func(changes []replication.Change) { applyEndpoints(changes, d, logger) }
+	f.onLost = d.StoreLost
+	f.onRegained = func() {
 		d.StoreRegained(time.Now())
 		time.AfterFunc(roster.LapseGrace, func() { dropLapsedEndpoints(d, logger) })
 	}
-	return newFollower(store, platform.ReplicaTable, apply, d.StoreLost, onRegained, liveInstances, logger)
+	return f
+}
+
+// retainEndpoints removes the endpoints that the whole table does not list.
+func retainEndpoints(all []replication.Change, d *roster.Directory, logger *log.Logger) {
+	listed := map[wire.EndpointId]bool{}
+	for _, c := range all {
+		if c.Listing != nil {
+			listed[c.ID] = true
+		}
+	}
+	for _, id := range d.Retain(listed, time.Now()) {
+		logger.Info().Str("Endpoint", string(id)).Str("Reason", "not listed").Msg("EndpointGone")
+	}
 }
 
 // dropLapsedEndpoints drops the endpoints whose entries lapsed during a store outage and were not listed again within
@@ -113,24 +138,39 @@
 	}
 }
 
-// applyEndpoint applies one row of the replica table to the directory and reports whether the row lists a usable endpoint.
-func applyEndpoint(row platform.Row, d *roster.Directory, logger *log.Logger) bool {
-	id := wire.EndpointId(row.Key)
+// decodeEndpoint decodes one row of the replica table. A row that lists no usable endpoint counts as deleted.
+func decodeEndpoint(row platform.Row, logger *log.Logger) replication.Change {
+	version, id := replication.Version(row.Version), wire.EndpointId(row.Key)
 	if row.Deleted {
-		removed := d.Remove(id, time.Now())
-		logger.Info().Str("Endpoint", row.Key).Int("RowVersion", row.Version).Bool("Gone", removed).Msg("EndpointUnlisted")
-		return false
+		return replication.NewChange(version, id, nil)
 	}
 	entry, err := platform.DecodeReplica(row)
 	if err != nil {
-		d.Remove(id, time.Now())
 		logger.Warn().Int("RowVersion", row.Version).Err(err).Msg("EndpointRejected")
-		return false
+		return replication.NewChange(version, id, nil)
+	}
+	return replication.NewChange(version, id, &entry)
+}
+
+// applyEndpoints applies changes to the directory in one view.
+func applyEndpoints(changes []replication.Change, d *roster.Directory, logger *log.Logger) {
+	d.Batch(func() {
+		for _, c := range changes {
+			applyEndpoint(c, d, logger)
+		}
+	})
+}
+
+func applyEndpoint(c replication.Change, d *roster.Directory, logger *log.Logger) {
+	entry := c.Entry()
+	if entry == nil {
+		removed := d.Remove(c.ID, time.Now())
+		logger.Info().Str("Endpoint", string(c.ID)).Int("RowVersion", int(c.Version)).Bool("Gone", removed).Msg("EndpointUnlisted")
+		return
 	}
-	if d.Put(entry) {
-		logger.Info().Str("Endpoint", row.Key).Int64("Born", entry.Born).Str("Service", string(entry.Service)).
+	if d.Put(*entry) {
+		logger.Info().Str("Endpoint", string(c.ID)).Int64("Born", entry.Born).Str("Service", string(entry.Service)).
 			Str("Domain", string(entry.Domain)).Str("Stage", entry.Stage.String()).Bool("Leaving", entry.Leaving).
-			Bool("Spot", entry.Spot).Int("RowVersion", row.Version).Msg("Endpoint")
+			Bool("Spot", entry.Spot).Int("RowVersion", int(c.Version)).Msg("Endpoint")
 	}
-	return true
 }
--- a/serving/membership/interval.go
+++ b/serving/membership/interval.go
@@ -42,13 +42,13 @@
 	// feedsPerSecond is how many feed calls per second with changes all instances together make for one table. It keeps the feeds of
 	// the tables that change to about a tenth of the store's smallest read rate, 2,000 a second.
 	feedsPerSecond = 160
-	// maxBatchDelay leaves three quarters of the 2 s within which a leaving endpoint or a new configuration must be applied.
-	maxBatchDelay = 500 * time.Millisecond
+	// MaxBatchDelay leaves three quarters of the 2 s within which a leaving endpoint or a new configuration must be applied.
+	MaxBatchDelay = 500 * time.Millisecond
 )
 
 // BatchDelay returns how long an instance among the given number of instances waits for more changes before its next feed call.
 func BatchDelay(instances int) time.Duration {
-	return interval(instances, feedsPerSecond, 0, maxBatchDelay)
+	return interval(instances, feedsPerSecond, 0, MaxBatchDelay)
 }
 
 // Bounds of how long the store holds a feed call open while there are no changes. The kernel's keep-alive probes close a
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -17,6 +17,11 @@
 const (
 	// RefreshInterval is the interval at which an instance writes its row.
 	RefreshInterval = 15 * time.Second
+	// SecondRefreshDelay is the time between an instance's first and second refresh. It is shorter than RefreshInterval because
+	// instances that started at the same time have written their rows by then.
+	SecondRefreshDelay = 3 * time.Second
+	// SettleTime is the time after its start in which an instance learns of its peers: until its second refresh and their first reports.
+	SettleTime = SecondRefreshDelay + 500*time.Millisecond
 	// staleAfter is the age at which a row no longer counts: two missed refreshes and a margin.
 	staleAfter = 35 * time.Second
 )
--- a/serving/peerload/peerload_test.go
+++ b/serving/peerload/peerload_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/wire"
@@ -21,7 +22,7 @@
 func newInstance(name wire.InstanceName) *instance {
 	d := roster.NewDirectory()
 	d.Put(roster.Entry{Key: roster.Key{ID: "e", Born: 1}, Service: "s", Domain: "a", Stage: roster.Decode, Slots: 1})
-	return &instance{directory: d, reporter: peerload.NewReporter(name, "1", string(name)+":1", d), table: peerload.NewTable(name, d)}
+	return &instance{directory: d, reporter: peerload.NewReporter(name, "1", string(name)+":1", "a", d), table: peerload.NewTable(name, d)}
 }
 
 func (i *instance) endpoint() *roster.Endpoint { return i.directory.View().All()["e"] }
@@ -48,7 +49,7 @@
 	if e := b.endpoint(); e.PrefillLoad() != 7 {
 		t.Errorf("an older report was applied: load %d", e.PrefillLoad())
 	}
-	if got := b.table.Addresses(); len(got) != 1 || got[0] != "a:1" {
+	if got := b.table.Peers(); len(got) != 1 || got[0] != (membership.Peer{Address: "a:1", Domain: "a"}) {
 		t.Errorf("addresses %v", got)
 	}
 }
@@ -63,7 +64,7 @@
 		t.Error("the load of a peer that reported a second ago has expired")
 	}
 	b.table.Expire(now.Add(3 * time.Second))
-	if b.endpoint().PrefillLoad() != 0 || len(b.table.Addresses()) != 0 {
+	if b.endpoint().PrefillLoad() != 0 || len(b.table.Peers()) != 0 {
 		t.Error("the load of a silent peer has not expired")
 	}
 }
--- a/serving/peerload/report.go
+++ b/serving/peerload/report.go
@@ -42,8 +42,9 @@
 	From        wire.InstanceName
 	Incarnation wire.IncarnationId
 	Sequence    uint64
-	// Address is where the sender receives reports.
+	// Address is where the sender receives reports, Domain its failure domain.
 	Address string
+	Domain  wire.DomainName
 	// Holds is set if the sender believes that it holds the duties lease.
 	Holds   bool
 	Loads   []Load
--- a/serving/peerload/reporter.go
+++ b/serving/peerload/reporter.go
@@ -37,9 +37,10 @@
 	deadline time.Time
 }
 
-// NewReporter returns the reporter of an instance that receives the reports of its peers at an address.
-func NewReporter(self wire.InstanceName, incarnation wire.IncarnationId, address string, d *roster.Directory) *Reporter {
-	return &Reporter{template: Report{From: self, Incarnation: incarnation, Address: address}, directory: d, orders: map[wire.EndpointId]stageOrder{}}
+// NewReporter returns the reporter of an instance in a failure domain that receives the reports of its peers at an address.
+func NewReporter(self wire.InstanceName, incarnation wire.IncarnationId, address string, domain wire.DomainName, d *roster.Directory) *Reporter {
+	template := Report{From: self, Incarnation: incarnation, Address: address, Domain: domain}
+	return &Reporter{template: template, directory: d, orders: map[wire.EndpointId]stageOrder{}}
 }
 
 // RecordSent adds prompt parts that were sent to an endpoint to the next two reports.
--- a/serving/peerload/table.go
+++ b/serving/peerload/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/wire"
 	"github.com/cespare/xxhash/v2"
@@ -151,13 +152,13 @@
 	return rank
 }
 
-// Addresses returns the addresses at which the peers receive reports.
-func (t *Table) Addresses() []string {
+// Peers returns the peers that report.
+func (t *Table) Peers() []membership.Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]string, 0, len(t.peers))
+	list := make([]membership.Peer, 0, len(t.peers))
 	for _, p := range t.peers {
-		list = append(list, p.report.Address)
+		list = append(list, membership.Peer{Address: p.report.Address, Domain: p.report.Domain})
 	}
 	return list
 }
--- a/serving/catchup/lag.go
+++ b/serving/replication/lag.go
@@ -1,6 +1,6 @@
-// Package catchup finds out that an instance has fallen behind its peers in following a table of the store, for example because the
-// store never answers an open feed call.
-package catchup
+// Package replication keeps the copies that instances have of a table of the store up to date: a few readers in each failure domain follow
+// the store and pass changes on, and each instance notices when it is behind.
+package replication
 
 import (
 	"sync"
--- a/serving/catchup/lag_test.go
+++ b/serving/replication/lag_test.go
@@ -1,10 +1,10 @@
-package catchup_test
+package replication_test
 
 import (
 	"testing"
 	"time"
 
-	"cowslipshunt.example/serving/catchup"
+	"cowslipshunt.example/serving/replication"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -14,18 +14,18 @@
 type fixture struct {
 	t      *testing.T
 	clock  *clockwork.FakeClock
-	lag    *catchup.Lag
-	behind chan catchup.Version
+	lag    *replication.Lag
+	behind chan replication.Version
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, clock: clockwork.NewFakeClock(), behind: make(chan catchup.Version, 100)}
-	f.lag = catchup.NewLag(f.clock, func() time.Duration { return tolerance }, func(peer catchup.Version) { f.behind <- peer })
+	f := &fixture{t: t, clock: clockwork.NewFakeClock(), behind: make(chan replication.Version, 100)}
+	f.lag = replication.NewLag(f.clock, func() time.Duration { return tolerance }, func(peer replication.Version) { f.behind <- peer })
 	return f
 }
 
 // expectBehind waits for a call of onBehind with a version.
-func (f *fixture) expectBehind(want catchup.Version) {
+func (f *fixture) expectBehind(want replication.Version) {
 	f.t.Helper()
 	select {
 	case got := <-f.behind:
