--- a/serving/peerload/peerload_test.go
+++ b/serving/peerload/peerload_test.go
@@ -151,3 +151,37 @@
 		t.Error("the holder's report does not count, or counts for longer than the given time")
 	}
 }
+
+// TestSuspicionOfBusyEndpointIsAnnouncedOnceASecond guards against a flood of log lines: peers avoid and use a busy endpoint again many
+// times a second. The last state has to be announced in the end.
+func TestSuspicionOfBusyEndpointIsAnnouncedOnceASecond(t *testing.T) {
+	d := roster.NewDirectory()
+	d.Put(roster.Entry{Key: roster.Key{ID: "e", Born: 1}, Service: "s", Domain: "a", Slots: 1})
+	var announced []bool
+	table := peerload.NewTable("self", d, peerload.WithSuspected(func(_ *roster.Endpoint, _ int, suspected bool) { announced = append(announced, suspected) }))
+	now := time.Unix(1e9, 0)
+	report := func(sequence int, paused ...wire.EndpointId) {
+		for _, peer := range []wire.InstanceName{"p", "q"} {
+			table.Apply(peerload.Report{From: peer, Incarnation: "1", Sequence: uint64(sequence), Paused: paused}, now)
+		}
+	}
+	for n := range 40 {
+		if n%2 == 0 {
+			report(n+1, "e")
+		} else {
+			report(n + 1)
+		}
+		if avoided := !d.View().All()["e"].Available(now); avoided != (n%2 == 0) {
+			t.Fatalf("after report %d the endpoint is avoided: %v", n, avoided)
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	if len(announced) == 0 || len(announced) > 3 {
+		t.Errorf("%d changes were announced in 2 s", len(announced))
+	}
+	now = now.Add(time.Second)
+	table.Expire(now)
+	if last := announced[len(announced)-1]; last {
+		t.Error("the last state was not announced")
+	}
+}
--- a/serving/peerload/table.go
+++ b/serving/peerload/table.go
@@ -22,6 +22,10 @@
 // endpoint that works.
 const suspectingPeers = 2
 
+// announceInterval is the shortest interval between two calls of onSuspected for one endpoint. A busy endpoint may be avoided and used
+// again many times a second.
+const announceInterval = time.Second
+
 // Table keeps the newest report of each peer and sets the sum of their loads at each endpoint. It is safe for concurrent use.
 type Table struct {
 	self      wire.InstanceName
@@ -32,7 +36,8 @@
 	// sums holds the load of all peers at each endpoint and how many of them avoid it. Each report updates them incrementally:
 	// with many instances and endpoints, adding up all reports each time would cost most of an instance's processor time.
 	sums map[wire.EndpointId]*endpointSum
-	// onSuspected is called when this instance starts or stops avoiding an endpoint because enough peers do.
+	// onSuspected is called when this instance starts or stops avoiding an endpoint because enough peers do, at most once in
+	// announceInterval for each endpoint.
 	onSuspected func(e *roster.Endpoint, peers int, suspected bool)
 }
 
@@ -52,6 +57,14 @@
 	prefillTokens, inFlight int
 	// avoidedBy is the number of peers that avoid the endpoint.
 	avoidedBy int
+	// announced is what onSuspected was last told, announcedAt when.
+	announced   bool
+	announcedAt time.Time
+}
+
+// unused reports whether no report names the endpoint and onSuspected has nothing to be told of it.
+func (s *endpointSum) unused() bool {
+	return s.prefillTokens == 0 && s.inFlight == 0 && s.avoidedBy == 0 && !s.announced
 }
 
 // peer is the newest report of a peer and when it arrived.
@@ -103,9 +116,9 @@
 	t.add(r, 1)
 	if known {
 		t.add(previous.report, -1)
-		t.updateReported(previous.report, all)
+		t.updateReported(previous.report, all, now)
 	}
-	t.updateReported(r, all)
+	t.updateReported(r, all, now)
 }
 
 // Expire drops the reports of peers that have stopped reporting, and updates the loads of all listed endpoints.
@@ -120,9 +133,9 @@
 	}
 	// This also updates endpoints that were listed only after the reports with their loads arrived.
 	for _, e := range t.directory.View().All() {
-		t.update(e)
+		t.update(e, now)
 	}
-	maps.DeleteFunc(t.sums, func(_ wire.EndpointId, s *endpointSum) bool { return *s == endpointSum{} })
+	maps.DeleteFunc(t.sums, func(_ wire.EndpointId, s *endpointSum) bool { return s.unused() })
 }
 
 // HolderReported reports whether a peer that believes it holds the duties lease has reported so within the given time before now.
@@ -186,28 +199,30 @@
 }
 
 // updateReported updates the loads of the listed endpoints that a report names.
-func (t *Table) updateReported(r Report, all map[wire.EndpointId]*roster.Endpoint) {
+func (t *Table) updateReported(r Report, all map[wire.EndpointId]*roster.Endpoint, now time.Time) {
 	for _, l := range r.Loads {
 		if e, listed := all[l.Endpoint]; listed {
-			t.update(e)
+			t.update(e, now)
 		}
 	}
 	for _, id := range r.Paused {
 		if e, listed := all[id]; listed {
-			t.update(e)
+			t.update(e, now)
 		}
 	}
 }
 
 // update sets the peers' load at an endpoint, and whether this instance avoids it because enough of them do.
-func (t *Table) update(e *roster.Endpoint) {
-	id := e.Entry().ID
-	s, known := t.sums[id]
+func (t *Table) update(e *roster.Endpoint, now time.Time) {
+	s, known := t.sums[e.Entry().ID]
 	if !known {
 		s = &endpointSum{}
 	}
-	if suspected := s.avoidedBy >= suspectingPeers; e.SetSuspected(suspected) {
+	e.SetPeerLoad(s.prefillTokens, s.inFlight)
+	suspected := s.avoidedBy >= suspectingPeers
+	e.SetSuspected(suspected)
+	if suspected != s.announced && now.Sub(s.announcedAt) >= announceInterval {
+		s.announced, s.announcedAt = suspected, now
 		t.onSuspected(e, s.avoidedBy, suspected)
 	}
-	e.SetPeerLoad(s.prefillTokens, s.inFlight)
 }
--- a/serving/relay/end_test.go
+++ b/serving/relay/end_test.go
@@ -94,3 +94,20 @@
 		t.Errorf("aborted %v; the last decision is %+v", c.aborted, d)
 	}
 }
+
+// TestSlowStreamIsNotCut checks that slow but sound streams reach the client whole: one that cannot be resumed, and one that can be but
+// is slow at each endpoint.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	for path, runs := range map[string]int{"/stream/": 1, "/resume/": 2} {
+		h := newHarness(func(a *relay.Attempt) behaviour {
+			if a.PrefillOnly {
+				return succeeds
+			}
+			return sendsSlowly
+		})
+		c := h.request(t, path)
+		if !c.ended || c.events != completeStream() || h.sender.runs > runs {
+			t.Errorf("%s: got %q, ended %v, after %d runs", path, c.events, c.ended, h.sender.runs)
+		}
+	}
+}
--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -159,9 +159,9 @@
 	return e.backoff.paused(now)
 }
 
-// SetSuspected sets whether several other instances avoid the endpoint, and reports whether that changed.
-func (e *Endpoint) SetSuspected(suspected bool) bool {
-	return e.suspected.Swap(suspected) != suspected
+// SetSuspected sets whether several other instances avoid the endpoint.
+func (e *Endpoint) SetSuspected(suspected bool) {
+	e.suspected.Store(suspected)
 }
 
 // MarkRejected records that the endpoint did not run a request because it is full or temporarily unavailable. It is paused like an
