Make fewer calls in outages and leave room on slow links

Cause: in an outage all instances of a large fleet polled the store for both tables every 0.8 s. Each instance also read the list of all instances every 15 s.

Change: receivers back off up to the time that an update vouches for, and the readers' updates wake them; a reader also sends one after it has read the whole table. The list of instances is read only while it differs from the peers that are heard. Each peer gets a report every half second at least (150 a second in all below 75 instances, 400 from 200 on) and never less than one a second, also from a timer that fires early. The lease holder counts as silent after 2.5 s.

Tests: TestReceiversBackOffLongerDuringAnOutage, TestMembersAreReadOnlyWhileTheyDifferFromThePeersHeard, TestReportsLeaveRoomOnSlowLinks, TestUnchangedLoadIsReportedEverySecond (it did not fail with its margin off; the doubled interval was read in the code).

--- a/router/duties.go
+++ b/router/duties.go
@@ -28,8 +28,8 @@
 	// long from now. When the instance stops, it also bounds the release of the lease and the last write of usage counts.
 	orderTimeout = 700 * time.Millisecond
 	// holderTimeout is how long after its last report the lease holder counts as silent, so that any other instance may check the
-	// lease in the store.
-	holderTimeout = 1500 * time.Millisecond
+	// lease in the store. It allows for one report that is lost.
+	holderTimeout = 2500 * time.Millisecond
 	// freezeTenths is the part of platform.Bounds.UsageDue, in tenths, after which a window is frozen even if counts are missing.
 	freezeTenths = 7
 	// goneFactor is the ratio of the time without a write after which an instance counts as gone to the time after which a window
--- a/router/follower.go
+++ b/router/follower.go
@@ -124,15 +124,30 @@
 			continue
 		}
 		f.noteFailure(err)
-		maxBackoff := membership.MaxBackoff(f.liveInstances(), time.Since(began))
-		select {
-		case <-ctx.Done():
-		case <-time.After(min(backoff, maxBackoff)):
-		}
+		maxBackoff := f.maxBackoff(time.Since(began))
+		f.backOff(ctx, min(backoff, maxBackoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// maxBackoff returns the longest back-off after a failed call that took the given time. That of a receiver is longer: the updates of the
+// readers end it.
+func (f *follower) maxBackoff(took time.Duration) time.Duration {
+	if f.replicas.role() == replication.Receiver {
+		return f.replicas.maxSilence
+	}
+	return membership.MaxBackoff(f.liveInstances(), took)
+}
+
+// backOff waits for a duration, or until an update shows that the store answers the readers.
+func (f *follower) backOff(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.wake:
+	case <-time.After(d):
+	}
+}
+
 func (f *follower) setSynced(synced bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/follower_store.go
+++ b/router/follower_store.go
@@ -22,25 +22,29 @@
 	}
 	f.noteSuccess()
 	f.gotChanges = false
-	f.applyAll(all)
+	unchanged := f.applyAll(all)
+	if f.replicas.role() == replication.Reader {
+		f.replicas.send([]replication.Update{unchanged})
+	}
 	if !f.lag.Reread(replication.Version(all.Version), lastChange(all.Rows), claimed) {
 		f.logger.Warn().Str("Table", f.table).Int("Version", all.Version).Int("Claimed", int(claimed)).Msg("PeerVersionIgnored")
 	}
 	return nil
 }
 
-// applyAll applies the whole table, unless an update has brought the copy to a newer version in the meantime.
-func (f *follower) applyAll(all platform.Rows) {
+// applyAll applies the whole table, unless an update has brought the copy to a newer version in the meantime. It returns the update with
+// which a reader shows that the store answers.
+func (f *follower) applyAll(all platform.Rows) replication.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.synced = true
 	f.inbox.Vouch()
-	if all.Version < f.version {
-		return
+	if all.Version >= f.version {
+		f.apply(all.Rows, true)
+		f.version = all.Version
+		f.log.Reset(replication.Version(all.Version))
 	}
-	f.apply(all.Rows, true)
-	f.version = all.Version
-	f.log.Reset(replication.Version(all.Version))
+	return f.log.Unchanged()
 }
 
 // followFeed waits for changes after a version. It returns a *feedInterruptedError if interrupt is called meanwhile.
--- a/router/follower_test.go
+++ b/router/follower_test.go
@@ -11,6 +11,7 @@
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
 	"cowslipshunt.example/serving/membership"
+	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
 )
 
@@ -63,3 +64,36 @@
 		t.Errorf("an instance made %d calls in %v, want at most %.1f plus 5", calls, outage, retries)
 	}
 }
+
+// TestReceiversBackOffLongerDuringAnOutage guards against overloading a store that rejects every call: in a large deployment only the
+// readers find out when the store answers again, and their updates wake the receivers.
+func TestReceiversBackOffLongerDuringAnOutage(t *testing.T) {
+	const outage, maxSilence = 5 * time.Second, 2 * time.Second
+	store := platformtest.NewStore(t)
+	store.Put(platform.ReplicaTable, "i-0", platformtest.Entry("10.0.0.1:80", "ready"))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	receiver := replicas{role: func() replication.Role { return replication.Receiver }, maxSilence: maxSilence}
+	d := roster.NewDirectory()
+	f := newEndpointFollower(platform.NewStore(store.Address, nil), d, func() int { return 195 }, receiver, newLogger(io.Discard, "error", "i"))
+	go f.run(ctx)
+	waitFor(t, "the list of endpoints", func() bool { return len(d.View().All()) == 1 })
+	store.Fail(http.StatusServiceUnavailable)
+	began := store.Calls()
+	waitFor(t, "a receiver that has lost the store", f.storeLost.Load)
+	<-time.After(outage)
+	// The back-off doubles from the first to the longest value, which takes six calls.
+	retries := outage.Seconds() / maxSilence.Seconds()
+	if calls := store.Calls() - began; float64(calls) > retries+7 {
+		t.Errorf("a receiver made %d calls in %v, want at most %.1f plus 7", calls, outage, retries)
+	}
+	store.Fail(0)
+	store.Put(platform.ReplicaTable, "i-1", platformtest.Entry("10.0.0.1:80", "ready"))
+	version := replication.Version(store.Version())
+	regained := time.Now()
+	f.receive(&replication.Update{Table: f.table, After: version, Version: version, Newest: version})
+	waitFor(t, "the new endpoint", func() bool { return len(d.View().All()) == 2 })
+	if took := time.Since(regained); took > maxSilence/2 {
+		t.Errorf("the receiver asked the store %v after an update", took)
+	}
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -23,8 +23,11 @@
 	reportInterval = 50 * time.Millisecond
 	// maxReportInterval is the interval between load reports while nothing changes.
 	maxReportInterval = time.Second
-	// maxReportsPerSecond bounds the reports that one instance sends to all peers together. The more peers there are, the fewer
-	// reports each gets.
+	// reportsPerSecond bounds the reports that one instance sends to all peers together, as long as each peer gets one every
+	// freshReportInterval: on a link of 10 Mbit/s, reports must leave room for requests.
+	reportsPerSecond    = 150
+	freshReportInterval = 500 * time.Millisecond
+	// maxReportsPerSecond bounds the reports in deployments in which that interval cannot be kept.
 	maxReportsPerSecond = 400
 	// maxDatagramBytes is the largest datagram that is sent to many instances: one that is not fragmented.
 	maxDatagramBytes = 1400
@@ -32,10 +35,6 @@
 	maxHandoffBytes = 16 << 10
 )
 
-// handoffCopies is the number of peers that get a copy of counts that could not be written, so that a copy is likely to remain
-// when a failure domain is lost or the next instances stop.
-const handoffCopies = 3
-
 // message is the content of one datagram: a load report with the applied versions, a hand-off of usage counts, or an update of a table.
 type message struct {
 	Report  *peerload.Report    `cbor:"1,keyasint,omitempty"`
@@ -96,6 +95,23 @@
 	p.members = members
 }
 
+// hearsAllMembers reports whether the peers that send reports are exactly those that the store listed last.
+func (p *peers) hearsAllMembers() bool {
+	reporting := p.peerLoads.Peers()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[string]bool, len(p.members))
+	for _, m := range p.members {
+		listed[m.Address] = true
+	}
+	for _, x := range reporting {
+		if !listed[x.Address] {
+			return false
+		}
+	}
+	return len(reporting) == len(listed)
+}
+
 // setFollowers sets the followers whose versions are compared with those of the peers.
 func (p *peers) setFollowers(f *followers) {
 	p.mu.Lock()
@@ -187,16 +203,26 @@
 		case <-timer.C:
 		}
 		addresses := p.addresses()
-		timer.Reset(max(reportInterval, time.Duration(len(addresses))*time.Second/maxReportsPerSecond))
+		timer.Reset(reportDelay(len(addresses)))
 		_ = protect(p.logger, "report", func() { p.reportOnce(addresses, &lastSent) })
 	}
 }
 
+// reportDelay returns the interval between reports to a number of peers while loads change.
+func reportDelay(peers int) time.Duration {
+	perPeer := func(perSecond int) time.Duration {
+		return time.Duration(peers) * time.Second / time.Duration(perSecond)
+	}
+	delay := max(reportInterval, min(perPeer(reportsPerSecond), freshReportInterval), perPeer(maxReportsPerSecond))
+	return min(delay, maxReportInterval)
+}
+
 // reportOnce reports this instance's load to the addresses, unless nothing has changed since lastSent, less than maxReportInterval ago.
 func (p *peers) reportOnce(addresses []string, lastSent *time.Time) {
 	now := time.Now()
 	report, changed := p.reporter.Next(now)
-	if !changed && now.Sub(*lastSent) < maxReportInterval {
+	// Without the margin, a timer that fires a moment early would double the interval.
+	if !changed && now.Sub(*lastSent) < maxReportInterval-reportInterval {
 		return
 	}
 	*lastSent = now
@@ -231,52 +257,6 @@
 	}
 }
 
-// HandOff sends copies of usage counts to handoffCopies peers in different failure domains. A copy that is marked as failed goes to one of
-// them as such, in turn, so that the peers do not all write it.
-func (p *peers) HandOff(handoffs []metering.Handoff) {
-	chosen := membership.ChooseSpread(p.all(), string(p.self.Incarnation), handoffCopies)
-	turn := int(p.handoffTurns.Add(1))
-	for i, peer := range chosen {
-		for _, h := range handoffs {
-			h.Failed = h.Failed && i == turn%len(chosen)
-			data, err := cbor.Marshal(message{Handoff: &h})
-			if err != nil || len(data) > maxHandoffBytes {
-				p.logger.Error().Int64("Window", int64(h.Window)).Int("Bytes", len(data)).Err(err).Msg("UsageNotHandedOff")
-				continue
-			}
-			p.transmit(data, []string{peer.Address})
-		}
-	}
-}
-
-// replicas returns the other instances for followers of tables whose copies have to follow the store within a bound.
-func (p *peers) replicas(self membership.Peer, bound time.Duration) replicas {
-	maxSilence := replication.MaxSilence(bound)
-	return replicas{
-		role:       func() replication.Role { return replication.RoleOf(self, p.peerLoads.Peers(), maxSilence) },
-		send:       func(updates []replication.Update) { p.sendUpdates(self, updates) },
-		maxSilence: maxSilence,
-	}
-}
-
-// sendUpdates sends updates to the other instances of the failure domain of self. The receivers notice one that is lost or too long.
-func (p *peers) sendUpdates(self membership.Peer, updates []replication.Update) {
-	var addresses []string
-	for _, x := range p.all() {
-		if x.Domain == self.Domain && x.Address != self.Address {
-			addresses = append(addresses, x.Address)
-		}
-	}
-	for _, u := range updates {
-		data, err := cbor.Marshal(message{Update: &u})
-		if err != nil || len(data) > maxDatagramBytes {
-			p.logger.Error().Str("Table", u.Table).Int("Bytes", len(data)).Err(err).Msg("UpdateNotSent")
-			continue
-		}
-		p.transmit(data, addresses)
-	}
-}
-
 // transmit sends one datagram to each address. Errors are logged or counted; the datagram is not sent again.
 func (p *peers) transmit(data []byte, addresses []string) {
 	for _, address := range addresses {
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -85,3 +86,57 @@
 	}
 	return seeds
 }
+
+// TestReportsLeaveRoomOnSlowLinks guards against reports that choke an instance's link: with full datagrams to all peers, they must take
+// at most a fifth of a link of 10 Mbit/s in a deployment of 90 instances. Each peer must get two before the last one expires, and up to 200
+// peers one every half second, as engines are chosen by them.
+func TestReportsLeaveRoomOnSlowLinks(t *testing.T) {
+	const linkBits, reportLifetime = 10_000_000, 2500 * time.Millisecond
+	for _, instances := range []int{8, 30, 90, 200, 400} {
+		peers := instances - 1
+		delay := reportDelay(peers)
+		if bits := float64(8*maxDatagramBytes*peers) / delay.Seconds(); instances <= 90 && bits > linkBits/5 {
+			t.Errorf("with %d instances, reports take %.0f bits a second", instances, bits)
+		}
+		if instances <= 200 && delay > freshReportInterval {
+			t.Errorf("with %d instances, a peer gets a report only every %v", instances, delay)
+		}
+		if 2*delay > reportLifetime {
+			t.Errorf("with %d instances, a peer gets a report only every %v", instances, delay)
+		}
+	}
+}
+
+// TestUnchangedLoadIsReportedEverySecond guards against a doubled interval: a peer that gets a report only every two seconds counts this
+// instance as gone after one that is lost.
+func TestUnchangedLoadIsReportedEverySecond(t *testing.T) {
+	p := newTestPeers(t)
+	peer, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	var many []membership.Peer
+	for range 200 {
+		many = append(many, membership.Peer{Address: peer.LocalAddr().String(), Domain: "a"})
+	}
+	p.setMembers(many)
+	buffer := make([]byte, maxDatagramBytes)
+	var last time.Time
+	for reports := 0; reports < 4; {
+		if err := peer.SetReadDeadline(time.Now().Add(waitTimeout)); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := peer.ReadFromUDPAddrPort(buffer); err != nil {
+			t.Fatal(err)
+		}
+		now := time.Now()
+		if since := now.Sub(last); !last.IsZero() && since < maxReportInterval/2 {
+			continue // another copy of the same report
+		} else if !last.IsZero() && since > 3*maxReportInterval/2 {
+			t.Errorf("a report came %v after the one before", since)
+		}
+		last = now
+		reports++
+	}
+}
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -66,9 +66,24 @@
 	return &Registration{table: t, instance: instance, domain: domain, address: address, now: now}
 }
 
+// Renew writes the instance's row without reading the others.
+func (r *Registration) Renew(ctx context.Context) error {
+	value, err := r.row()
+	if err != nil {
+		return err
+	}
+	_, err = r.table.Transact(ctx, wire.TransactRequest{Writes: []wire.Write{{Table: TableName, Key: string(r.instance), Value: value}}})
+	return err
+}
+
+// row returns the value of the instance's row.
+func (r *Registration) row() ([]byte, error) {
+	return json.Marshal(member{Domain: r.domain, Address: r.address, Seen: r.now().UnixMilli()})
+}
+
 // Refresh writes the instance's row and returns the other instances that are alive. It also removes stale and undecodable rows.
 func (r *Registration) Refresh(ctx context.Context) ([]Peer, error) {
-	value, err := json.Marshal(member{Domain: r.domain, Address: r.address, Seen: r.now().UnixMilli()})
+	value, err := r.row()
 	if err != nil {
 		return nil, err
 	}
