--- a/serving/peerload/peerload_test.go
+++ b/serving/peerload/peerload_test.go
@@ -185,24 +185,3 @@
 		t.Error("the last state was not announced")
 	}
 }
-
-// TestEndpointThatFailsForOneInstanceIsUsedByOthers checks that an endpoint that one peer cannot use, for example as it is cut off from it,
-// is not avoided here, and that one which several cannot use is.
-func TestEndpointThatFailsForOneInstanceIsUsedByOthers(t *testing.T) {
-	d := roster.NewDirectory()
-	d.Put(roster.Entry{Key: roster.Key{ID: "e", Born: 1}, Service: "s", Domain: "a", Slots: 1})
-	table := peerload.NewTable("self", d)
-	available := func() bool { return d.View().All()["e"].Available(now) }
-	table.Apply(peerload.Report{From: "p", Incarnation: "1", Sequence: 1, Paused: []wire.EndpointId{"e"}}, now)
-	if !available() {
-		t.Error("an endpoint that one peer avoids is avoided here")
-	}
-	table.Apply(peerload.Report{From: "q", Incarnation: "1", Sequence: 1, Paused: []wire.EndpointId{"e"}}, now)
-	if available() {
-		t.Error("an endpoint that two peers avoid is used here")
-	}
-	table.Apply(peerload.Report{From: "q", Incarnation: "1", Sequence: 2}, now)
-	if !available() {
-		t.Error("an endpoint that one peer uses again is still avoided here")
-	}
-}
