Say in two comments what the copies of counts are for

Cause: the comments spoke of counts that could not be written; copies are made of all counts that are not written yet. Comments only.

--- a/router/peer_copies.go
+++ b/router/peer_copies.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// handoffCopies is the number of peers that get a copy of counts that could not be written, so that a copy is likely to remain
+// handoffCopies is the number of peers that get a copy of counts that are not written yet, so that a copy is likely to remain
 // when a failure domain is lost or the next instances stop.
 const handoffCopies = 3
 
--- a/serving/metering/writer.go
+++ b/serving/metering/writer.go
@@ -7,7 +7,7 @@
 	"cowslipshunt.example/wire"
 )
 
-// Peers are the other instances, which keep copies of counts that their owner cannot write.
+// Peers are the other instances, which keep copies of counts that their owner has not written yet.
 type Peers interface {
 	// HandOff sends hand-offs to the peers.
 	HandOff(list []Handoff)
