Log answers that do not reach their caller

An answer whose write failed left no line: the relay had logged it as answered, and small answers were buffered by net/http, which reports no error for them. The log could not tell whether a connection was closed by its caller, by the clean-up of idle connections or by a stop.

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -55,6 +55,9 @@
 	caller := platform.NewCaller(w)
 	h.serve(r.Context(), req, caller)
 	metrics.GetOrCreateHistogram("router_request_seconds").UpdateDuration(arrived)
+	if caller.Err != nil {
+		h.logUndelivered(req, caller.Err)
+	}
 	if caller.Incomplete {
 		panic(http.ErrAbortHandler)
 	}
@@ -77,6 +80,12 @@
 	h.relay.Serve(ctx, req, caller)
 }
 
+// logUndelivered logs that an answer could not be written to the caller's connection.
+func (h *callerHandler) logUndelivered(req *relay.Request, err error) {
+	metrics.GetOrCreateCounter("router_answers_undelivered_total").Inc()
+	h.logger.Info().Str("Request", string(req.ID)).Int64("AgeMillis", time.Since(req.Arrived).Milliseconds()).Err(err).Msg("Undelivered")
+}
+
 func (h *callerHandler) maxBodyBytes() int64 {
 	if n := h.limits().MaxBody; n > 0 {
 		return n
--- a/router/idle_conns.go
+++ b/router/idle_conns.go
@@ -29,14 +29,17 @@
 	delete(i.idleSince, c)
 }
 
-// closeExpired closes the connections that have been idle for longer than timeout.
-func (i *idleConns) closeExpired(timeout time.Duration) {
+// closeExpired closes the connections that have been idle for longer than timeout, and returns how many these were.
+func (i *idleConns) closeExpired(timeout time.Duration) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	closed := 0
 	for c, since := range i.idleSince {
 		if time.Since(since) > timeout {
 			_ = c.Close()
 			delete(i.idleSince, c)
+			closed++
 		}
 	}
+	return closed
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -241,12 +241,21 @@
 		e, ok := listed[k.ID]
 		return ok && e.Entry().Key == k
 	})
-	if timeout := n.callerHandler.limits().IdleTimeout; timeout > 0 {
-		n.idleConns.closeExpired(timeout)
-	}
+	n.closeIdleConns()
 	n.updateRetryBudget()
 }
 
+// closeIdleConns closes callers' connections that have been idle for longer than the configuration in force allows.
+func (n *node) closeIdleConns() {
+	t := n.relay.Table()
+	if t == nil || t.Limits.IdleTimeout <= 0 {
+		return
+	}
+	if closed := n.idleConns.closeExpired(t.Limits.IdleTimeout); closed > 0 {
+		n.logger.Info().Int("Connections", closed).Int64("TimeoutMillis", t.Limits.IdleTimeout.Milliseconds()).Int64("Version", int64(t.Version)).Msg("IdleConnectionsClosed")
+	}
+}
+
 // updateRetryBudget applies the retry ratio of the settings in force and this instance's share of the retry slack.
 func (n *node) updateRetryBudget() {
 	bounds := n.settings.Load().Bounds
