Finish requests that are read while a server shuts down

Callers of a stopping instance, of router and of entry, could lose a request: http.Server.Shutdown closes connections that it counts as idle although their next request has been read, and drops requests that it reads just after the shutdown began, with no answer and no 'Connection: close'.

The tracking of connections moves from router to shared/connections, where process.Serve uses it too. Its Shutdown closes the listeners, answers what callers have sent, closes idle connections as their waits end, and calls that of http.Server only once no connection is open.

The tests of router and shared pass.

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -101,14 +101,13 @@
 	return route.Limits{}
 }
 
-// newCallerServer returns the HTTP server for callers' connections, which are tracked by conns. All requests end with ctx.
-func newCallerServer(ctx context.Context, h *callerHandler, conns *callerConns) *http.Server {
+// newCallerServer returns the HTTP server for callers' connections. All requests end with ctx.
+func newCallerServer(ctx context.Context, h *callerHandler) *http.Server {
 	return &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         conns.connState,
 	}
 }
 
--- a/router/disconnect_test.go
+++ b/router/disconnect_test.go
@@ -12,6 +12,8 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/shared/connections"
+	"github.com/jonboulle/clockwork"
 )
 
 // maxWorkAfterDisconnect is the platform's bound on how long an endpoint may work for a caller that has disconnected.
@@ -76,13 +78,13 @@
 // TestIdleCallerConnectionsCloseAfterTimeout checks that an idle connection is closed after the timeout, and not before.
 func TestIdleCallerConnectionsCloseAfterTimeout(t *testing.T) {
 	const timeout = time.Second
-	conns := newCallerConns()
-	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout, ConnState: conns.connState}
+	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout}
+	conns := connections.Track(server, clockwork.NewRealClock())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(conns.listener(l)) }()
+	go func() { _ = server.Serve(conns.Listener(l)) }()
 	defer func() { _ = server.Close() }()
 	c, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
@@ -104,11 +106,11 @@
 	if err := exchange(); err != nil {
 		t.Fatal(err)
 	}
-	conns.closeExpired(timeout)
+	conns.CloseIdle(timeout)
 	if err := exchange(); err != nil {
 		t.Fatalf("a connection that was idle for less than the timeout was closed: %v", err)
 	}
-	for deadline := time.Now().Add(waitTimeout); ; conns.closeExpired(0) {
+	for deadline := time.Now().Add(waitTimeout); ; conns.CloseIdle(0) {
 		_ = c.SetReadDeadline(time.Now().Add(pollInterval))
 		if _, err := in.ReadByte(); err == io.EOF {
 			return
--- a/router/serve.go
+++ b/router/serve.go
@@ -21,6 +21,7 @@
 	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/truetime"
+	"cowslipshunt.example/shared/connections"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/process"
@@ -74,9 +75,11 @@
 	peerLoads     *peerload.Table
 	relay         *relay.Relay
 	callerHandler *callerHandler
-	callerConns   *callerConns
-	peers         *peers
-	slackShare    *retry.SlackShare
+	// callerConns are the connections to callerServer.
+	callerServer *http.Server
+	callerConns  *connections.Tracker
+	peers        *peers
+	slackShare   *retry.SlackShare
 	// requestCtx is the base context of all requests of callers; endRequests ends them with a cause.
 	requestCtx  context.Context
 	endRequests context.CancelCauseFunc
@@ -95,7 +98,6 @@
 		directory:   roster.NewDirectory(),
 		agreedClock: truetime.New(bootClock{}.Monotonic, time.Now),
 		pool:        link.NewPool[roster.Key](clock, link.DialEndpoint),
-		callerConns: newCallerConns(),
 		slackShare:  retry.NewSlackShare(s.Bounds.RetryWindow, clock.Now()),
 		listenErrs:  make(chan error, maxListeners),
 		hup:         make(chan os.Signal, 1),
@@ -112,6 +114,8 @@
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(heldBytes(s.MemoryBytes)))
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent))
 	n.callerHandler = &callerHandler{relay: n.relay, logger: logger}
+	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
+	n.callerConns = connections.Track(n.callerServer, clock)
 	return n
 }
 
@@ -131,8 +135,7 @@
 	defer finalWrites.Wait()
 	defer stopWork()
 	n.start(workCtx, &finalWrites)
-	server, err := n.listen(o)
-	if err != nil {
+	if err := n.listen(o); err != nil {
 		return err
 	}
 	logger.Info().Str("Caller", s.CallerAddress).Str("Domain", string(s.Domain)).Msg("Started")
@@ -141,7 +144,7 @@
 	}
 	n.callerHandler.stopping.Store(true)
 	logger.Info().Msg("Stopping")
-	return n.shutDown(server)
+	return n.shutDown()
 }
 
 // start starts the background goroutines. Those that write to the store once more when ctx ends are added to finalWrites.
@@ -175,25 +178,24 @@
 // maxListeners is the largest number of HTTP listeners of an instance: callers, readiness and metrics.
 const maxListeners = 3
 
-// listen starts the instance's HTTP servers and returns the one for callers.
-func (n *node) listen(o options) (*http.Server, error) {
+// listen starts the instance's HTTP servers.
+func (n *node) listen(o options) error {
 	s := n.settings.Load()
-	server := newCallerServer(n.requestCtx, n.callerHandler, n.callerConns)
-	if err := serveAt(server, s.CallerAddress, n.listenErrs, n.callerConns.listener); err != nil {
-		return nil, err
+	if err := serveAt(n.callerServer, s.CallerAddress, n.listenErrs, n.callerConns.Listener); err != nil {
+		return err
 	}
 	readyServer := newReadyServer(func() bool { return n.relay.Table() != nil && !n.callerHandler.stopping.Load() })
 	if err := serveAt(readyServer, s.ReadyAddress, n.listenErrs); err != nil {
-		return nil, err
+		return err
 	}
 	if o.Metrics == "" {
-		return server, nil
+		return nil
 	}
 	host, _, err := net.SplitHostPort(s.CallerAddress)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return server, serveAt(process.NewServer(process.NewOperations().Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
+	return serveAt(process.NewServer(process.NewOperations().Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
 }
 
 // waitForStop cleans up periodically, and reloads the settings when their file changes or at SIGHUP, until ctx ends. It returns
@@ -255,7 +257,7 @@
 	if t == nil || t.Limits.IdleTimeout <= 0 {
 		return
 	}
-	if closed := n.callerConns.closeExpired(t.Limits.IdleTimeout); closed > 0 {
+	if closed := n.callerConns.CloseIdle(t.Limits.IdleTimeout); closed > 0 {
 		n.logger.Info().Int("Connections", closed).Int64("TimeoutMillis", t.Limits.IdleTimeout.Milliseconds()).Int64("Version", int64(t.Version)).Msg("IdleConnectionsClosed")
 	}
 }
@@ -269,12 +271,12 @@
 // shutDown waits for unreadyDelay, so that the platform notices that the instance is not ready, and then until open requests have
 // ended. Those that are still open stopMargin before the end of the grace period are ended with the cause relay.ErrStopping, and
 // shutDown returns a *process.IncompleteShutdownError.
-func (n *node) shutDown(srv *http.Server) error {
+func (n *node) shutDown() error {
 	deadline := time.Now().Add(n.settings.Load().Bounds.StopGrace - stopMargin)
 	time.Sleep(unreadyDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := srv.Shutdown(ctx)
+	err := n.callerConns.Shutdown(ctx)
 	if err == nil {
 		n.logger.Info().Msg("Stopped")
 		return nil
@@ -282,7 +284,7 @@
 	n.endRequests(relay.ErrStopping)
 	ctx, cancel = context.WithTimeout(context.Background(), endTimeout)
 	defer cancel()
-	if endErr := srv.Shutdown(ctx); endErr != nil {
+	if endErr := n.callerConns.Shutdown(ctx); endErr != nil {
 		err = errors.Join(err, endErr)
 	}
 	n.logger.Warn().Err(err).Msg("Stopped")
--- a/router/undelivered_test.go
+++ b/router/undelivered_test.go
@@ -26,7 +26,7 @@
 // them reports no error.
 func TestUndeliveredAnswerIsLogged(t *testing.T) {
 	out := &logBuffer{}
-	server := newCallerServer(t.Context(), &callerHandler{relay: lateRelay{}, logger: newLogger(out, "debug", "a")}, newCallerConns())
+	server := newCallerServer(t.Context(), &callerHandler{relay: lateRelay{}, logger: newLogger(out, "debug", "a")})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/shared/connections/conn.go
@@ -0,0 +1,73 @@
+package connections
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"cowslipshunt.example/shared/link"
+)
+
+// longAgo is a read deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// conn is a tracked connection. It is active from the first byte of a request until its answer has been written.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// idleSince is when the connection became idle; zero while it is active or new.
+	idleSince time.Time
+	// expired is set once expire has ended the server's wait for the next request.
+	expired bool
+}
+
+// Read reads from the connection, which is active once it has returned a byte.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.markActive()
+	}
+	return n, err
+}
+
+// CloseWrite closes the writing side, which lets net/http send a final answer to a caller that is still writing.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+func (c *conn) markIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = now
+}
+
+// markActive ends the idle time. A request that was read before expire could end the wait for it is served.
+func (c *conn) markActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	if c.expired {
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// expire ends the server's wait for the next request if the connection has been idle for longer than timeout and its caller has sent
+// nothing; the server then closes the connection. It reports whether it did so for the first time.
+func (c *conn) expire(now time.Time, timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || now.Sub(c.idleSince) <= timeout || link.HasUnread(c.Conn) {
+		return false
+	}
+	// net/http may reset the deadline while it begins to wait. The next call then sets it again.
+	_ = c.SetReadDeadline(longAgo)
+	first := !c.expired
+	c.expired = true
+	return first
+}
--- /dev/null
+++ b/shared/connections/tracker.go
@@ -0,0 +1,143 @@
+// Package connections tracks the connections of an HTTP server and closes those that are idle, without losing a request.
+//
+// http.Server cannot do that by itself: to its ConnState hook and its Shutdown, a connection counts as idle until the head of its next
+// request has been parsed, and Shutdown drops requests that were read just after it began.
+package connections
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// drainInterval is the interval at which Shutdown closes the connections that have become idle.
+const drainInterval = 20 * time.Millisecond
+
+// Tracker tracks the connections of one server. It is safe for concurrent use.
+type Tracker struct {
+	server *http.Server
+	clock  clockwork.Clock
+	// draining is set once Shutdown was called. Answers then ask their callers to close the connection.
+	draining atomic.Bool
+
+	mu        sync.Mutex
+	open      map[*conn]struct{}
+	listeners []net.Listener
+}
+
+// Track returns a tracker for the connections that srv accepts from listeners that Listener returned. It sets the ConnState of srv and
+// wraps its handler, so it has to be called before srv serves.
+func Track(srv *http.Server, clock clockwork.Clock) *Tracker {
+	t := &Tracker{server: srv, clock: clock, open: map[*conn]struct{}{}}
+	srv.ConnState = t.connState
+	next := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+	return t
+}
+
+// Listener returns a listener whose connections are tracked. Shutdown closes it.
+func (t *Tracker) Listener(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listeners = append(t.listeners, l)
+	return &listener{Listener: l, tracker: t}
+}
+
+// CloseIdle makes the server close the connections that have been idle for longer than timeout, and returns how many these are.
+func (t *Tracker) CloseIdle(timeout time.Duration) int {
+	now := t.clock.Now()
+	closed := 0
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		if c.expire(now, timeout) {
+			closed++
+		}
+	}
+	return closed
+}
+
+// Open returns how many connections are open.
+func (t *Tracker) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
+// Shutdown closes the listeners, serves the requests that callers have sent, and waits until all connections are closed. Idle connections
+// are closed. If ctx ends before, Shutdown returns its error and leaves the remaining connections open; it may then be called again.
+func (t *Tracker) Shutdown(ctx context.Context) error {
+	t.draining.Store(true)
+	t.closeListeners()
+	ticker := t.clock.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		t.CloseIdle(0)
+		if t.Open() == 0 {
+			return t.server.Shutdown(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.Chan():
+		}
+	}
+}
+
+func (t *Tracker) closeListeners() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.listeners {
+		_ = l.Close()
+	}
+	t.listeners = nil
+}
+
+// connState records when a connection opens, becomes idle and closes. It is a callback for http.Server.ConnState.
+func (t *Tracker) connState(c net.Conn, state http.ConnState) {
+	tracked, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.open[tracked] = struct{}{}
+	case http.StateIdle:
+		tracked.markIdle(t.clock.Now())
+	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.open, tracked)
+	}
+}
+
+// listener accepts tracked connections.
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept waits for the next connection. Once Shutdown has closed the listener, it returns http.ErrServerClosed.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) && l.tracker.draining.Load() {
+		return nil, http.ErrServerClosed
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
--- a/shared/process/operations.go
+++ b/shared/process/operations.go
@@ -9,8 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/shared/connections"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
 )
 
 // Limits of the HTTP servers that NewServer returns.
@@ -70,9 +72,10 @@
 // Serve runs srv on l until ctx ends and then shuts it down gracefully. If requests are still running after grace, it closes their
 // connections and returns context.DeadlineExceeded.
 func Serve(ctx context.Context, srv *http.Server, l net.Listener, grace time.Duration) error {
+	conns := connections.Track(srv, clockwork.NewRealClock())
 	done := make(chan error, 1)
 	go func() {
-		done <- srv.Serve(l)
+		done <- srv.Serve(conns.Listener(l))
 	}()
 	select {
 	case err := <-done:
@@ -81,7 +84,7 @@
 	}
 	stopCtx, cancel := context.WithTimeout(ForceContext(ctx), grace)
 	defer cancel()
-	err := srv.Shutdown(stopCtx)
+	err := conns.Shutdown(stopCtx)
 	if err != nil {
 		_ = srv.Close()
 	}
