Keep silent streams that cannot go on elsewhere

Callers saw streams that ended unfinished although their endpoint was sound and went on a second later.

Cause: the watchdog of a resumable stream cancelled the send after six times the route's pause. Whether another endpoint was open and the retry budget allowed a send was asked when the stream began, and again only after the cancellation. An endpoint that falls silent does so for all of its streams at once, so that their resumptions spend the budget, and the rest was aborted. The class: giving up something that works before it is known that its replacement can be had.

At the end of the limit the watchdog now asks for another open endpoint and takes the send from the budget in the same step; without both it waits on, and the decision is logged as Waited. A stream that moves uses the send that was taken.

Ruled out: streams that may not be resumed, and those at their last attempt, have no watchdog. Whether the users' reports come from this is not shown.

--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -45,6 +45,8 @@
 	sendsSlowly
 	// sendsNoEvents runs the request and answers with a stream that ends without an event.
 	sendsNoEvents
+	// fallsSilent runs the request, sends nothing for silence after the first events, and goes on.
+	fallsSilent
 )
 
 // streamEvents is how many events a complete stream has.
@@ -56,6 +58,8 @@
 	commentInterval = time.Millisecond
 	// slowInterval is longer than a stream may pause at an endpoint before it is resumed at another one.
 	slowInterval = 20 * time.Millisecond
+	// silence is several times as long as a stream may pause before it is resumed at another endpoint.
+	silence = 60 * time.Millisecond
 )
 
 // fakeSender is a sender whose endpoints behave as next says. It counts what they did.
@@ -66,6 +70,8 @@
 	// caches.
 	runs, sends, prefilled, freed, fetched int
 	attempts                               []relay.Attempt
+	// onSilence is called when an endpoint falls silent.
+	onSilence func()
 }
 
 func (f *fakeSender) Send(ctx context.Context, e *roster.Endpoint, a *relay.Attempt) (*relay.Answer, error) {
@@ -116,7 +122,7 @@
 		}
 		first = last + 1
 	}
-	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, ctx: ctx}}, nil
+	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, silent: b == fallsSilent, onSilence: f.onSilence, ctx: ctx}}, nil
 }
 
 func (f *fakeSender) Prefilled(a *relay.Answer) (string, error) {
@@ -134,6 +140,9 @@
 	stalls    bool
 	comments  bool
 	slow      bool
+	// silent is set until the endpoint has been silent for a while.
+	silent    bool
+	onSilence func()
 	ctx       context.Context
 }
 
@@ -153,6 +162,15 @@
 			return relay.Event{Bytes: []byte(comment)}, nil
 		}
 	}
+	if b.silent && b.next > streamEvents/2 {
+		b.silent = false
+		b.onSilence()
+		select {
+		case <-b.ctx.Done():
+			return relay.Event{}, context.Cause(b.ctx)
+		case <-time.After(silence):
+		}
+	}
 	if b.next > streamEvents {
 		return relay.Event{}, io.EOF
 	}
--- a/serving/relay/harness_test.go
+++ b/serving/relay/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,6 +52,8 @@
 // recorder is a meter and observer. It records the steps of the decisions that paused an endpoint, and the failure domains that
 // became unreachable or reachable.
 type recorder struct {
+	// mu guards the decisions: those of a watchdog come from another goroutine.
+	mu              sync.Mutex
 	began           int
 	paused, domains []string
 	// decisions are all decisions in order.
@@ -59,6 +62,8 @@
 
 func (r *recorder) Began(wire.WorkspaceName) { r.began++ }
 func (r *recorder) Decided(d relay.Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.decisions = append(r.decisions, d)
 	if d.Pause > 0 {
 		r.paused = append(r.paused, d.Step)
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -32,6 +32,8 @@
 	// sent counts the sends that may have reached an endpoint, except successful prefills. Once it is above 0, each further send is
 	// taken from the retry budget. possibleRuns counts the sends that may have made an endpoint run the request.
 	sent, possibleRuns int
+	// sendIsPaid is set while the next send has already been taken from the retry budget.
+	sendIsPaid bool
 	// metered is set once the request is metered.
 	metered bool
 	// excluded holds the endpoints that failed or rejected the request.
@@ -140,6 +142,10 @@
 // allowSend reports whether the request may be sent now. Once an earlier send counts in sent, each
 // further one is taken from the retry budget.
 func (j *job) allowSend() bool {
+	if j.sendIsPaid {
+		j.sendIsPaid = false
+		return true
+	}
 	return j.sent == 0 || j.budget.TakeRetry(j.relay.clock.Now())
 }
 
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -141,25 +141,32 @@
 // canRetryElsewhere reports whether an endpoint other than e is available and the retry budget allows another send. It takes
 // nothing from the budget; allowSend does that just before the send.
 func (j *job) canRetryElsewhere(e *roster.Endpoint) bool {
+	return len(j.endpoints(j.needElsewhere(e))) > 0 && j.budget.CanRetry(j.relay.clock.Now())
+}
+
+// needElsewhere returns the requirements on an endpoint of the same stage other than e.
+func (j *job) needElsewhere(e *roster.Endpoint) placement.Need {
 	need := j.need(e.Entry().Stage)
 	need.Excluded = append(need.Excluded[:len(need.Excluded):len(need.Excluded)], e.Entry().ID)
-	return len(j.endpoints(need)) > 0 && j.budget.CanRetry(j.relay.clock.Now())
+	return need
 }
 
 // forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished.
 func (j *job) forwardStream(ctx context.Context, w *watchdog, e *roster.Endpoint, a *Answer) bool {
+	mayCancel := j.mayMoveStream(e)
 	for {
 		event, err := a.Body.Next()
 		if errors.Is(err, io.EOF) {
 			return j.finishStream(e, a)
 		}
 		if err != nil {
+			w.stop()
 			j.meterOnce()
 			j.recordFailure(ctx, e, err)
 			return false
 		}
 		if event.HasData {
-			w.reset(eventTimeoutPauses * j.route.MaxPause)
+			w.reset(eventTimeoutPauses*j.route.MaxPause, mayCancel)
 			j.meterOnce()
 		}
 		j.forwardHead(e, a)
--- /dev/null
+++ b/serving/relay/silence_test.go
@@ -0,0 +1,73 @@
+package relay_test
+
+import (
+	"testing"
+
+	"cowslipshunt.example/serving/relay"
+)
+
+// TestSilentStreamIsKeptWithoutBudgetToMove guards against streams that are cut although they cannot go on elsewhere: a sound endpoint
+// falls silent for a while, and the retry budget is spent by then.
+func TestSilentStreamIsKeptWithoutBudgetToMove(t *testing.T) {
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		return fallsSilent
+	})
+	h.sender.onSilence = func() { h.relay.SetBudget(0, 0) }
+	h.expectWholeStream(t, "Waited")
+}
+
+// TestSilentStreamIsKeptWithoutAnotherEndpoint guards against the same when no other endpoint is open.
+func TestSilentStreamIsKeptWithoutAnotherEndpoint(t *testing.T) {
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		return fallsSilent
+	})
+	h.sender.onSilence = func() {
+		for _, e := range h.directory.View().Service(engineService) {
+			if e.OwnInFlight() > 0 {
+				continue
+			}
+			entry := *e.Entry()
+			entry.Leaving = true
+			h.directory.Put(entry)
+		}
+	}
+	h.expectWholeStream(t, "Waited")
+}
+
+// expectWholeStream requests a resumable stream and fails the test unless it comes whole from one run, with a decision of the given step.
+func (h *harness) expectWholeStream(t *testing.T, step string) {
+	t.Helper()
+	c := h.request(t, "/resume/")
+	if !c.ended || c.events != completeStream() || h.sender.runs != 1 {
+		t.Errorf("got %q, ended %v, aborted %v, after %d runs", c.events, c.ended, c.aborted, h.sender.runs)
+	}
+	for _, d := range h.recorder.decisions {
+		if d.Step == step {
+			return
+		}
+	}
+	t.Errorf("no decision %q in %+v", step, h.recorder.decisions)
+}
+
+// TestSilentStreamMovesOnce checks that a silent stream that can go on elsewhere takes one retry from the budget for that.
+func TestSilentStreamMovesOnce(t *testing.T) {
+	stalled := false
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly || stalled {
+			return succeeds
+		}
+		stalled = true
+		return stalls
+	})
+	h.relay.SetBudget(0, 1)
+	c := h.request(t, "/resume/")
+	if !c.ended || c.events != completeStream() || h.sender.runs != 2 {
+		t.Errorf("got %q, ended %v, aborted %v, after %d runs", c.events, c.ended, c.aborted, h.sender.runs)
+	}
+}
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"cowslipshunt.example/serving/roster"
@@ -31,36 +32,74 @@
 type watchdog struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	timer  clockwork.Timer
+	clock  clockwork.Clock
+
+	mu sync.Mutex
+	// timer is nil if the watchdog never cancels the send by itself.
+	timer clockwork.Timer
+	// limit is the time without data; it ends at expiry. The watchdog is stopped while limit is 0.
+	limit  time.Duration
+	expiry time.Time
+	// mayCancel reports whether the send may be cancelled at the end of limit; nil allows it. If it does not, the limit starts anew.
+	mayCancel func() bool
 }
 
 // newWatchdog starts a watchdog whose context is that of the send. With a limit of 0 it never cancels the send by itself.
 func newWatchdog(ctx context.Context, clock clockwork.Clock, limit time.Duration) *watchdog {
-	w := &watchdog{}
+	w := &watchdog{clock: clock}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	if limit > 0 {
-		w.timer = clock.AfterFunc(limit, func() { w.cancel(errNoData) })
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.limit, w.expiry = limit, clock.Now().Add(limit)
+		w.timer = clock.AfterFunc(limit, w.expire)
 	}
 	return w
 }
 
-// stop stops the timer without cancelling the send.
+// expire cancels the send unless the limit has started anew or the send may not be cancelled.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limit == 0 || w.clock.Now().Before(w.expiry) {
+		return
+	}
+	if w.mayCancel != nil && !w.mayCancel() {
+		w.start(w.limit)
+		return
+	}
+	w.cancel(errNoData)
+}
+
+// start starts a limit. The caller must hold the lock.
+func (w *watchdog) start(limit time.Duration) {
+	w.limit, w.expiry = limit, w.clock.Now().Add(limit)
+	w.timer.Reset(limit)
+}
+
+// stop ends the limit without cancelling the send. Once it has returned, mayCancel is not called.
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = 0
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
-// reset restarts the timer for the next event of a stream. It stays stopped if the limit is 0 or the watchdog was started without
-// one.
-func (w *watchdog) reset(limit time.Duration) {
-	w.stop()
-	if w.timer != nil && limit > 0 {
-		w.timer.Reset(limit)
+// reset starts the limit for the next event of a stream, at whose end the send is cancelled if mayCancel allows it. The watchdog stays
+// stopped if the limit is 0 or it was started without one.
+func (w *watchdog) reset(limit time.Duration, mayCancel func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || limit <= 0 {
+		return
 	}
+	w.mayCancel = mayCancel
+	w.start(limit)
 }
 
-// close stops the timer and cancels the context of the send.
+// close ends the limit and cancels the context of the send.
 func (w *watchdog) close() {
 	w.stop()
 	w.cancel(nil)
@@ -79,3 +118,28 @@
 	}
 	return limit
 }
+
+// mayMoveStream returns a function that reports whether a stream from endpoint e, which has been silent for too long, may be cancelled to
+// be resumed elsewhere: another endpoint has to be open, and the send there is taken from the retry budget at once. Otherwise the stream
+// would be lost although e may go on with it. The function must not be called once the request has left e.
+func (j *job) mayMoveStream(e *roster.Endpoint) func() bool {
+	return func() bool {
+		if len(j.endpoints(j.needElsewhere(e))) == 0 {
+			j.observeWait(e, "the endpoint is silent, and no other endpoint is open")
+			return false
+		}
+		if !j.budget.TakeRetry(j.relay.clock.Now()) {
+			j.observeWait(e, "the endpoint is silent, and the retry budget is spent")
+			return false
+		}
+		j.sendIsPaid = true
+		return true
+	}
+}
+
+// observeWait passes on the decision to wait longer for a silent endpoint.
+func (j *job) observeWait(e *roster.Endpoint, reason string) {
+	d := j.decision("Waited", reason, nil)
+	d.Endpoint = e.Entry().ID
+	j.relay.observer.Decided(d)
+}
