Refuse requests whose bodies cannot be read

Callers saw neither an answer nor a refusal: a body over the limit of the configuration in force, or a malformed one, ended with a closed connection. A configuration that lowers the limit does that to whole requests of callers that go by the one before.

A body over the limit is now refused with 413, and one that cannot be decoded with 400. The connection is aborted only if the caller broke off itself. RequestUnread names the request.

Evidence: TestRequestWithUnreadableBodyIsRefused, three of its four cases fail without the change ('the request got no answer: unexpected EOF'), all pass with it.

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -39,15 +42,15 @@
 	stopping atomic.Bool
 }
 
-// ServeHTTP passes one request to the relay. It aborts the connection if the request's body cannot be read or the answer is
+// ServeHTTP passes one request to the relay. It aborts the connection if the caller breaks off the request's body or the answer is
 // incomplete.
 func (h *callerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	r.Body = http.MaxBytesReader(w, r.Body, h.maxBodyBytes())
 	req, err := platform.DecodeRequest(r, arrived)
 	if err != nil {
-		h.logger.Info().Err(err).Msg("RequestUnread")
-		panic(http.ErrAbortHandler)
+		h.refuseUnread(w, r, err)
+		return
 	}
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -63,6 +66,22 @@
 	}
 }
 
+// refuseUnread refuses a request whose body could not be read. It aborts the connection if the caller broke off, as no answer can reach it.
+func (h *callerHandler) refuseUnread(w http.ResponseWriter, r *http.Request, err error) {
+	h.logger.Info().Str("Request", platform.RequestID(r.Header)).Err(err).Msg("RequestUnread")
+	var tooLong *http.MaxBytesError
+	var network net.Error
+	switch {
+	case errors.As(err, &tooLong):
+		platform.NewCaller(w).Refuse(relay.Refusal{Verdict: relay.TooLarge, Reason: fmt.Sprintf("the body exceeds %d bytes", tooLong.Limit)})
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set("Connection", "close")
+		platform.NewCaller(w).Refuse(relay.Refusal{Verdict: relay.Malformed, Reason: "the body cannot be read: " + err.Error()})
+	}
+}
+
 // serve passes a request to the relay. If that panics, the caller gets a refusal that promises nothing, or an incomplete answer.
 func (h *callerHandler) serve(ctx context.Context, req *relay.Request, caller *platform.Caller) {
 	defer func() {
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -153,11 +153,13 @@
 	NoRoute
 	// Malformed means that the request cannot be passed on to an endpoint.
 	Malformed
+	// TooLarge means that the request's body exceeds the limit of the configuration.
+	TooLarge
 )
 
 // String returns the verdict's name, which is logged and sent to clients.
 func (v Verdict) String() string {
-	return [...]string{"NotRun", "Unknown", "Expired", "NoKey", "NoRoute", "Malformed"}[v]
+	return [...]string{"NotRun", "Unknown", "Expired", "NoKey", "NoRoute", "Malformed", "TooLarge"}[v]
 }
 
 // Refusal is the relay's own answer to a request, in place of an endpoint's.
