Name the time limit in failures that it caused

The log showed a send that was given up for its endpoint's silence as 'use of closed network connection', like any other closed connection: the connection is closed at the limit, and the read's error replaced the cause.

Evidence: TestFailureNamesTheTimeLimit fails without the change for a plain request and a stream. The fake endpoints of the package's tests now return the error that a closed connection returns.

--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -54,6 +54,7 @@
 	defer w.close()
 	j.beginExchange(e)
 	answer, err := j.relay.sender.Send(w.ctx, e, a)
+	err = w.explain(err)
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
 		j.recordFailure(ctx, e, err)
@@ -74,7 +75,7 @@
 	handle, err := j.relay.sender.Prefilled(answer)
 	if err != nil {
 		j.sent++
-		j.recordFailure(ctx, e, err)
+		j.recordFailure(ctx, e, w.explain(err))
 		return false
 	}
 	j.exchange.end(j.relay.clock.Now(), nil)
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -103,7 +104,7 @@
 	switch b {
 	case hangs:
 		<-ctx.Done()
-		return nil, context.Cause(ctx)
+		return nil, net.ErrClosed
 	case losesAnswer:
 		return nil, errors.New("reset")
 	case fails:
@@ -152,12 +153,12 @@
 	}
 	if b.stalls && b.next > streamEvents/2 {
 		<-b.ctx.Done()
-		return relay.Event{}, context.Cause(b.ctx)
+		return relay.Event{}, net.ErrClosed
 	}
 	if b.comments && b.next > streamEvents/2 {
 		select {
 		case <-b.ctx.Done():
-			return relay.Event{}, context.Cause(b.ctx)
+			return relay.Event{}, net.ErrClosed
 		case <-time.After(commentInterval):
 			return relay.Event{Bytes: []byte(comment)}, nil
 		}
@@ -167,7 +168,7 @@
 		b.onSilence()
 		select {
 		case <-b.ctx.Done():
-			return relay.Event{}, context.Cause(b.ctx)
+			return relay.Event{}, net.ErrClosed
 		case <-time.After(silence):
 		}
 	}
@@ -177,7 +178,7 @@
 	if b.slow {
 		select {
 		case <-b.ctx.Done():
-			return relay.Event{}, context.Cause(b.ctx)
+			return relay.Event{}, net.ErrClosed
 		case <-time.After(slowInterval):
 		}
 	}
@@ -192,7 +193,7 @@
 	}
 	if b.stalls || b.comments {
 		<-b.ctx.Done()
-		return nil, context.Cause(b.ctx)
+		return nil, net.ErrClosed
 	}
 	return []byte(b.text), nil
 }
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -62,6 +62,7 @@
 	defer w.close()
 	j.beginExchange(e)
 	a, err := j.relay.sender.Send(w.ctx, e, j.newAttempt())
+	err = w.explain(err)
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
 		j.recordFailure(ctx, e, err)
@@ -162,7 +163,7 @@
 		if err != nil {
 			w.stop()
 			j.meterOnce()
-			j.recordFailure(ctx, e, err)
+			j.recordFailure(ctx, e, w.explain(err))
 			return false
 		}
 		if event.HasData {
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"strings"
 	"testing"
 
 	"cowslipshunt.example/serving/relay"
@@ -71,3 +72,24 @@
 		t.Errorf("got %q, ended %v, aborted %v, after %d runs", c.events, c.ended, c.aborted, h.sender.runs)
 	}
 }
+
+// TestFailureNamesTheTimeLimit guards against a log in which a send that was cancelled for its endpoint's silence looks like any other
+// closed connection.
+func TestFailureNamesTheTimeLimit(t *testing.T) {
+	for path, b := range map[string]behaviour{"/resume/": stalls, "/again/": hangs} {
+		h := newHarness(func(a *relay.Attempt) behaviour {
+			if a.PrefillOnly {
+				return succeeds
+			}
+			return b
+		})
+		h.request(t, path)
+		named := false
+		for _, d := range h.recorder.decisions {
+			named = named || d.Step == "Failed" && strings.Contains(d.Err.Error(), "no data within the time limit")
+		}
+		if !named {
+			t.Errorf("%s: no failure names the time limit", path)
+		}
+	}
+}
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -99,6 +100,15 @@
 	w.start(limit)
 }
 
+// explain returns err, the failure of the send, with errNoData if the watchdog caused it: the send itself reports only that its connection
+// was closed.
+func (w *watchdog) explain(err error) error {
+	if err == nil || !errors.Is(context.Cause(w.ctx), errNoData) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errNoData, err)
+}
+
 // close ends the limit and cancels the context of the send.
 func (w *watchdog) close() {
 	w.stop()
