Let a returning instance wait for a lease that was released twice

Cause: a stopping holder releases the lease, and whoever asks first takes it, also an instance that had released it moments before and has been started again. A rolling restart brings that about.

A row now names the recent holders. An instance among them, other than the last one, waits as after an expiry. They are dropped at an expiry and by a holder that has held the lease for a term and the order timeout.

Ruled out: a holder that acts after its term, as the epochs rise in order.

--- a/shared/lease/keeper.go
+++ b/shared/lease/keeper.go
@@ -77,6 +77,10 @@
 	// attempt is the last write if its outcome is unknown.
 	attempt *attempt
 	renewal int
+	// acquired is this process's monotonic time at the first write of its epoch.
+	acquired time.Duration
+	// recentHolders is what the last row of this process named.
+	recentHolders []wire.InstanceName
 
 	mu       sync.Mutex
 	held     bool
@@ -158,7 +162,7 @@
 	}
 	k.attempt = nil
 	k.markNotHeld()
-	if k.foreign == nil || k.foreign.row != s.row {
+	if k.foreign == nil || !sameState(k.foreign.row, s.row) {
 		k.foreign = &foreignRow{row: s.row, firstRead: k.clock.Monotonic()}
 	}
 }
@@ -167,21 +171,11 @@
 func (k *Keeper) resolveAttempt(s storedRow) {
 	a := k.attempt
 	k.attempt = nil
-	if a != nil && s.row == a.row {
+	if a != nil && sameState(s.row, a.row) {
 		k.markHeld(*a, s.revision)
 	}
 }
 
-// available reports whether no other process can believe that it holds the lease: the row is absent, this process's own,
-// released, or unchanged for longer than its term plus the order timeout.
-func (k *Keeper) available() bool {
-	if k.foreign == nil || k.foreign.row.Incarnation == "" {
-		return true
-	}
-	term := time.Duration(k.foreign.row.TermMillis) * time.Millisecond
-	return k.clock.Monotonic()-k.foreign.firstRead > term+k.orderTimeout
-}
-
 // nextRow returns the row to write. Each attempt has its own renewal number, so that a later read of the row shows which
 // attempt took effect. The epoch increases unless the lease is held already.
 func (k *Keeper) nextRow() wire.LeaseRow {
@@ -193,10 +187,13 @@
 		Epoch:       k.current.row.Epoch,
 		Renewal:     k.renewal,
 		TermMillis:  int(k.term.Milliseconds()),
+		Recent:      k.recent(),
 	}
 	if !k.Belief().Holds {
 		row.Epoch++
+		k.acquired = k.clock.Monotonic()
 	}
+	k.recentHolders = row.Recent
 	return row
 }
 
@@ -251,7 +248,13 @@
 	if !held {
 		return nil
 	}
-	row := wire.LeaseRow{Lease: k.name, Epoch: epoch, Renewal: k.renewal + 1}
+	row := wire.LeaseRow{
+		Lease:      k.name,
+		Epoch:      epoch,
+		Renewal:    k.renewal + 1,
+		TermMillis: int(k.term.Milliseconds()),
+		Recent:     append([]wire.InstanceName{k.self.Instance}, k.recentHolders...),
+	}
 	answer, err := k.write(ctx, row, revision)
 	if err == nil && !answer.Committed {
 		return ErrNotHeld
--- a/shared/lease/keeper_test.go
+++ b/shared/lease/keeper_test.go
@@ -18,7 +18,7 @@
 	// maxDrift is the largest relative deviation of a clock's rate from true time.
 	maxDrift = 0.1
 	// maxKeepers limits the number of processes; a new one starts after each release until then.
-	maxKeepers = 5
+	maxKeepers = 7
 )
 
 // driftingClocks are the clocks of one process. They advance with true time at their own rates.
@@ -48,7 +48,8 @@
 }
 
 // leaseModel runs several keepers of one lease against a table with faults. It checks that at most one of them believes that
-// it holds the lease, that no epoch has two holders, and that the holder's epoch never decreases.
+// it holds the lease, that no epoch has two holders, that the holder's epoch never decreases, and that no instance holds it again within
+// a term after another one did in between.
 type leaseModel struct {
 	t       *rapid.T
 	table   *tabletest.Table
@@ -58,28 +59,36 @@
 	holders map[wire.Epoch]int
 	// highest is the highest epoch held so far.
 	highest wire.Epoch
+	// now is the true time, instances the instance of each keeper, lastHeld when each instance held the lease last, and lastHolder the
+	// instance that did so last of all.
+	now        time.Duration
+	instances  []wire.InstanceName
+	lastHeld   map[wire.InstanceName]time.Duration
+	lastHolder wire.InstanceName
 	// faultsOff turns all faults and delays off.
 	faultsOff bool
 }
 
 func newLeaseModel(t *rapid.T) *leaseModel {
-	m := &leaseModel{t: t, table: tabletest.New(), holders: map[wire.Epoch]int{}}
+	m := &leaseModel{t: t, table: tabletest.New(), holders: map[wire.Epoch]int{}, lastHeld: map[wire.InstanceName]time.Duration{}}
 	m.table.Fault = m.fault
 	m.table.QueryFails = func() bool { return !m.faultsOff && rapid.IntRange(0, 29).Draw(t, "query") == 0 }
 	m.table.Delay = m.delay
 	for range rapid.IntRange(2, 3).Draw(t, "keepers") {
-		m.start()
+		m.start(wire.InstanceName(fmt.Sprint(len(m.keepers))))
 	}
 	return m
 }
 
-func (m *leaseModel) start() {
+// start starts a process on an instance.
+func (m *leaseModel) start(instance wire.InstanceName) {
 	n := len(m.keepers)
 	rate := rapid.SampledFrom([]float64{1 - maxDrift, 1, 1 + maxDrift})
 	c := &driftingClocks{wall: time.Unix(1e9, 0), monotonicRate: rate.Draw(m.t, "monotonic rate"), wallRate: rate.Draw(m.t, "wall rate")}
 	c.canSuspend = rapid.Bool().Draw(m.t, "suspends")
-	self := lease.Identity{Instance: wire.InstanceName(fmt.Sprint(n)), Incarnation: wire.IncarnationId(fmt.Sprint(n))}
+	self := lease.Identity{Instance: instance, Incarnation: wire.IncarnationId(fmt.Sprint(n))}
 	m.clocks = append(m.clocks, c)
+	m.instances = append(m.instances, instance)
 	m.keepers = append(m.keepers, lease.NewKeeper(lease.Usage, self, m.table, c, lease.WithTerm(testTerm), lease.WithOrderTimeout(testTimeout)))
 }
 
@@ -105,6 +114,7 @@
 }
 
 func (m *leaseModel) advance(d time.Duration) {
+	m.now += d
 	for _, c := range m.clocks {
 		c.advance(d)
 	}
@@ -126,12 +136,22 @@
 			m.t.Fatalf("keeper %d holds epoch %d after epoch %d", i, b.Epoch, m.highest)
 		}
 		m.holders[b.Epoch], m.highest = i, b.Epoch
+		m.checkTurns(m.instances[i])
 	}
 	if holders > 1 {
 		m.t.Fatalf("%d keepers believe that they hold the lease", holders)
 	}
 }
 
+// checkTurns checks that the instance that holds the lease now did not hold it within a term before another one did.
+func (m *leaseModel) checkTurns(holder wire.InstanceName) {
+	held, ok := m.lastHeld[holder]
+	if ok && m.lastHolder != holder && m.now-held < testTerm {
+		m.t.Fatalf("instance %s holds the lease again %v after it held it, with %s in between", holder, m.now-held, m.lastHolder)
+	}
+	m.lastHeld[holder], m.lastHolder = m.now, holder
+}
+
 // anyKeeper draws the index of a keeper.
 func (m *leaseModel) anyKeeper() int {
 	return rapid.IntRange(0, len(m.keepers)-1).Draw(m.t, "keeper")
@@ -167,7 +187,7 @@
 	_ = m.keepers[i].Release(m.t.Context())
 	c.calling = false
 	if len(m.keepers) < maxKeepers {
-		m.start()
+		m.start(rapid.SampledFrom(m.instances).Draw(m.t, "instance"))
 	}
 }
 
@@ -235,3 +255,44 @@
 	}
 	m.t.Fatal("no keeper holds the lease")
 }
+
+// TestInstanceThatReturnsAfterTwoReleasesWaits guards against duties that alternate between two instances within a term: a rolling restart
+// releases the lease from one instance to the next, and the first one is back at once.
+func TestInstanceThatReturnsAfterTwoReleasesWaits(t *testing.T) {
+	table := tabletest.New()
+	clock := &driftingClocks{wall: time.Unix(1e9, 0), monotonicRate: 1, wallRate: 1}
+	start := func(instance wire.InstanceName, incarnation wire.IncarnationId) *lease.Keeper {
+		self := lease.Identity{Instance: instance, Incarnation: incarnation}
+		return lease.NewKeeper(lease.Usage, self, table, clock, lease.WithTerm(testTerm), lease.WithOrderTimeout(testTimeout))
+	}
+	step := func(k *lease.Keeper) bool {
+		clock.advance(testTimeout / 4)
+		if err := k.Step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return k.Belief().Holds
+	}
+	for i, name := range []wire.InstanceName{"a", "b", "c"} {
+		k := start(name, wire.IncarnationId(fmt.Sprint(i)))
+		if !step(k) {
+			t.Fatalf("%s did not take over a released lease", name)
+		}
+		if err := k.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if last := start("c", "3"); !step(last) {
+		t.Error("the last holder's instance did not take its released lease again")
+	} else if err := last.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	a, began := start("a", "4"), clock.monotonic
+	for !step(a) {
+		if clock.monotonic-began > 2*(testTerm+testTimeout) {
+			t.Fatal("the returning instance never holds the lease")
+		}
+	}
+	if waited := clock.monotonic - began; waited < testTerm {
+		t.Errorf("the returning instance held the lease again after %v, want at least %v", waited, testTerm)
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -796,6 +796,10 @@
 	// Lease corresponds to the JSON schema field "Lease".
 	Lease LeaseName `json:"Lease"`
 
+	// Recent are the instances that held the lease shortly before the holder, newest
+	// first. A released row begins with the last holder.
+	Recent []InstanceName `json:"Recent,omitempty,omitzero"`
+
 	// Renewal corresponds to the JSON schema field "Renewal".
 	Renewal int `json:"Renewal"`
 
