Count connections as active while a buffered request is served

A caller that sends a request before it has the answer to the one before could see it cancelled: net/http reads both at once, so that no later read marks the connection as active, and the clean-up of idle connections set a read deadline under the running request.

The connection is now marked active by the server's state as well as by the read.

Evidence: TestRequestReadWithTheOneBeforeIsServed fails without the change ('1 connections count as idle') and passes 10 of 10 runs with it under the race detector.

--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -115,6 +115,9 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.open[tracked] = struct{}{}
+	case http.StateActive:
+		// The request may have been read together with the one before.
+		tracked.markActive()
 	case http.StateIdle:
 		tracked.markIdle(t.clock.Now())
 	case http.StateClosed, http.StateHijacked:
--- a/shared/connections/tracker_test.go
+++ b/shared/connections/tracker_test.go
@@ -58,6 +58,7 @@
 	// reads counts the reads that returned bytes.
 	reads     atomic.Int64
 	afterRead atomic.Pointer[func()]
+	handling  atomic.Pointer[func(r *http.Request)]
 	client    net.Conn
 	in        *bufio.Reader
 	address   string
@@ -68,6 +69,9 @@
 	f := &fixture{t: t, clock: clockwork.NewFakeClock()}
 	f.server = &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.served.Add(1)
+		if hook := f.handling.Load(); hook != nil {
+			(*hook)(r)
+		}
 		_, _ = io.WriteString(w, r.URL.Path)
 	})}
 	f.conns = connections.Track(f.server, f.clock)
@@ -103,6 +107,11 @@
 	f.afterRead.Store(&hook)
 }
 
+// onRequest sets what happens before each request is answered.
+func (f *fixture) onRequest(hook func(r *http.Request)) {
+	f.handling.Store(&hook)
+}
+
 // waitFor waits until a condition holds, and fails the test after waitTimeout.
 func (f *fixture) waitFor(what string, condition func() bool) {
 	f.t.Helper()
@@ -221,3 +230,37 @@
 		t.Errorf("the shutdown returned %v", err)
 	}
 }
+
+// TestRequestReadWithTheOneBeforeIsServed guards against requests that are cancelled although their caller waits: they were read together
+// with the one before, so that no read marks their connection as active.
+func TestRequestReadWithTheOneBeforeIsServed(t *testing.T) {
+	f := newFixture(t)
+	running, proceed := make(chan context.Context, 1), make(chan struct{})
+	f.onRequest(func(r *http.Request) {
+		if r.URL.Path == "/b" {
+			running <- r.Context()
+			<-proceed
+		}
+	})
+	if _, err := io.WriteString(f.client, wholeRequest+"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	ctx := <-running
+	f.clock.Advance(time.Minute)
+	if closed := f.conns.CloseIdle(0); closed != 0 {
+		t.Errorf("%d connections count as idle", closed)
+	}
+	if err := ctx.Err(); err != nil {
+		t.Errorf("the request was cancelled: %v", err)
+	}
+	close(proceed)
+	for _, want := range []string{"/a", "/b"} {
+		resp, err := http.ReadResponse(f.in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, _ := io.ReadAll(resp.Body); string(body) != want {
+			t.Errorf("got %q, want %q", body, want)
+		}
+	}
+}
