Close connections whose callers sent stray bytes

A line end after a request kept its connection open for ever and a stop waiting for the whole grace period: the read marked the connection as active, while net/http waits for four bytes before it starts its own limit for the head.

The first byte on an idle connection now starts the server's header timeout, which net/http replaces once it reads the head.

--- a/shared/connections/conn.go
+++ b/shared/connections/conn.go
@@ -15,6 +15,8 @@
 // conn is a tracked connection. It is active from the first byte of a request until its answer has been written.
 type conn struct {
 	net.Conn
+	// headerTimeout bounds the time from the first byte of a request to the last one of its head; 0 means no bound.
+	headerTimeout time.Duration
 
 	mu sync.Mutex
 	// idleSince is when the connection became idle; zero while it is active or new.
@@ -50,6 +52,26 @@
 func (c *conn) markActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idleSince.IsZero() {
+		return
+	}
+	c.idleSince = time.Time{}
+	c.expired = false
+	// net/http bounds the time for a head only once it has read four bytes. Until then the connection would stay open for ever.
+	deadline := time.Time{}
+	if c.headerTimeout > 0 {
+		deadline = time.Now().Add(c.headerTimeout)
+	}
+	_ = c.SetReadDeadline(deadline)
+}
+
+// markServing ends the idle time of a connection whose request has been read without a read from the connection.
+func (c *conn) markServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() {
+		return
+	}
 	c.idleSince = time.Time{}
 	if c.expired {
 		c.expired = false
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -117,7 +117,7 @@
 		t.open[tracked] = struct{}{}
 	case http.StateActive:
 		// The request may have been read together with the one before.
-		tracked.markActive()
+		tracked.markServing()
 	case http.StateIdle:
 		tracked.markIdle(t.clock.Now())
 	case http.StateClosed, http.StateHijacked:
@@ -142,5 +142,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, headerTimeout: l.tracker.server.ReadHeaderTimeout}, nil
 }
--- a/shared/connections/tracker_test.go
+++ b/shared/connections/tracker_test.go
@@ -65,9 +65,15 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, waitTimeout)
+}
+
+// newFixtureWith returns a fixture whose server bounds the time for the head of a request.
+func newFixtureWith(t *testing.T, headerTimeout time.Duration) *fixture {
 	t.Helper()
 	f := &fixture{t: t, clock: clockwork.NewFakeClock()}
-	f.server = &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f.server = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.served.Add(1)
 		if hook := f.handling.Load(); hook != nil {
 			(*hook)(r)
@@ -264,3 +270,20 @@
 		}
 	}
 }
+
+// TestConnectionWithStrayBytesIsClosed guards against connections that stay open for ever and hold up a shutdown: a caller has sent a line
+// end after its request, which is less than what the server waits for before it reads the next one.
+func TestConnectionWithStrayBytesIsClosed(t *testing.T) {
+	f := newFixtureWith(t, 50*time.Millisecond)
+	f.request(wholeRequest)
+	reads := f.reads.Load()
+	if _, err := io.WriteString(f.client, "\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("a read", func() bool { return f.reads.Load() > reads })
+	f.waitFor("no open connection", func() bool {
+		f.clock.Advance(time.Second)
+		f.conns.CloseIdle(0)
+		return f.conns.Open() == 0
+	})
+}
