Wait for accepted connections before a server shuts down

A request on a connection that was accepted just as the shutdown began could be read and dropped: the connection was not tracked yet, no other was open, and http.Server drops what it reads once its shutdown has begun.

The shutdown now waits until the server has seen that its listeners are closed: by then it has taken every connection that they accepted before.

Evidence: TestConnectionAcceptedAsServerShutsDownIsServed fails without the change ('the request got no answer: unexpected EOF') and passes 15 of 15 runs with it under the race detector. The tests of the shutdown move to a file of their own; TestShutdownClosesIdleConnections is new, and a wait that ended the test from a goroutine of the server does so no longer.

--- /dev/null
+++ b/shared/connections/shutdown_test.go
@@ -0,0 +1,121 @@
+package connections_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/shared/connections"
+	"github.com/jonboulle/clockwork"
+)
+
+// TestRequestReadAsServerShutsDownIsAnswered guards against requests that a stopping server has read and drops: http.Server closes
+// connections whose request it has not parsed yet, and drops requests that it reads just after the shutdown began.
+func TestRequestReadAsServerShutsDownIsAnswered(t *testing.T) {
+	f := newFixture(t)
+	f.request(wholeRequest)
+	stopped := make(chan error, 1)
+	var once sync.Once
+	f.onRead(func() {
+		once.Do(func() {
+			go func() { stopped <- f.conns.Shutdown(context.Background()) }()
+			if !holdsInTime(func() bool { return isRefused(f.address) }) {
+				t.Error("the listener was not closed")
+			}
+			f.clock.Advance(time.Second)
+		})
+	})
+	resp := f.request(wholeRequest)
+	if !resp.Close {
+		t.Error("the answer does not ask the caller to close the connection")
+	}
+	f.waitFor("the end of the shutdown", func() bool {
+		f.clock.Advance(time.Second)
+		return len(stopped) == 1
+	})
+	if err := <-stopped; err != nil {
+		t.Errorf("the shutdown returned %v", err)
+	}
+}
+
+// isRefused reports whether an address refuses connections.
+func isRefused(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err != nil
+}
+
+// TestShutdownClosesIdleConnections checks that a shutdown does not wait for connections that their callers keep.
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	f := newFixture(t)
+	f.request(wholeRequest)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.conns.Shutdown(context.Background()) }()
+	f.waitFor("the end of the shutdown", func() bool {
+		f.clock.Advance(time.Second)
+		return len(stopped) == 1
+	})
+	if err := <-stopped; err != nil {
+		t.Errorf("the shutdown returned %v", err)
+	}
+}
+
+// heldListener returns its first connection only once release is closed; accepted is closed before.
+type heldListener struct {
+	net.Listener
+	once              sync.Once
+	accepted, release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.once.Do(func() {
+		close(l.accepted)
+		<-l.release
+	})
+	return c, err
+}
+
+// TestConnectionAcceptedAsServerShutsDownIsServed guards against requests that are read and dropped: their connection was accepted just
+// before the shutdown, and the server does not know it yet.
+func TestConnectionAcceptedAsServerShutsDownIsServed(t *testing.T) {
+	server := &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	})}
+	conns := connections.Track(server, clockwork.NewRealClock())
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &heldListener{Listener: inner, accepted: make(chan struct{}), release: make(chan struct{})}
+	go func() { _ = server.Serve(conns.Listener(l)) }()
+	defer func() { _ = server.Close() }()
+	c, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, wholeRequest); err != nil {
+		t.Fatal(err)
+	}
+	<-l.accepted
+	stopped := make(chan error, 1)
+	go func() { stopped <- conns.Shutdown(t.Context()) }()
+	select {
+	case <-stopped:
+		t.Error("the shutdown ended although a connection was accepted and not served")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(l.release)
+	_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Errorf("the request got no answer: %v", err)
+	}
+}
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -28,7 +28,7 @@
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
-	listeners []net.Listener
+	listeners []*listener
 }
 
 // Track returns a tracker for the connections that srv accepts from listeners that Listener returned. It sets the ConnState of srv and
@@ -50,8 +50,9 @@
 func (t *Tracker) Listener(l net.Listener) net.Listener {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.listeners = append(t.listeners, l)
-	return &listener{Listener: l, tracker: t}
+	tracked := &listener{Listener: l, tracker: t, ended: make(chan struct{})}
+	t.listeners = append(t.listeners, tracked)
+	return tracked
 }
 
 // CloseIdle makes the server close the connections that have been idle for longer than timeout, and returns how many these are.
@@ -79,7 +80,9 @@
 // are closed. If ctx ends before, Shutdown returns its error and leaves the remaining connections open; it may then be called again.
 func (t *Tracker) Shutdown(ctx context.Context) error {
 	t.draining.Store(true)
-	t.closeListeners()
+	if err := t.closeListeners(ctx); err != nil {
+		return err
+	}
 	ticker := t.clock.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
@@ -95,13 +98,23 @@
 	}
 }
 
-func (t *Tracker) closeListeners() {
+// closeListeners closes the listeners and waits until the server has taken all connections that they accepted.
+func (t *Tracker) closeListeners(ctx context.Context) error {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, l := range t.listeners {
+	listeners := t.listeners
+	t.mu.Unlock()
+	for _, l := range listeners {
 		_ = l.Close()
+		if !l.used.Load() {
+			continue
+		}
+		select {
+		case <-l.ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	t.listeners = nil
+	return nil
 }
 
 // connState records when a connection opens, becomes idle and closes. It is a callback for http.Server.ConnState.
@@ -131,16 +144,26 @@
 type listener struct {
 	net.Listener
 	tracker *Tracker
+	// used is set once Accept was called. ended is closed once it has failed because the listener is closed: by then the server has taken
+	// all connections that Accept returned before.
+	used   atomic.Bool
+	ended  chan struct{}
+	finish sync.Once
 }
 
 // Accept waits for the next connection. Once Shutdown has closed the listener, it returns http.ErrServerClosed.
 func (l *listener) Accept() (net.Conn, error) {
+	l.used.Store(true)
 	c, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) && l.tracker.draining.Load() {
-		return nil, http.ErrServerClosed
+	if err == nil {
+		return &conn{Conn: c, headerTimeout: l.tracker.server.ReadHeaderTimeout}, nil
 	}
-	if err != nil {
+	if !errors.Is(err, net.ErrClosed) {
 		return nil, err
 	}
-	return &conn{Conn: c, headerTimeout: l.tracker.server.ReadHeaderTimeout}, nil
+	l.finish.Do(func() { close(l.ended) })
+	if l.tracker.draining.Load() {
+		return nil, http.ErrServerClosed
+	}
+	return nil, err
 }
--- a/shared/connections/tracker_test.go
+++ b/shared/connections/tracker_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,15 +120,23 @@
 // waitFor waits until a condition holds, and fails the test after waitTimeout.
 func (f *fixture) waitFor(what string, condition func() bool) {
 	f.t.Helper()
+	if !holdsInTime(condition) {
+		f.t.Fatalf("timed out waiting for %s", what)
+	}
+}
+
+// holdsInTime waits until a condition holds, at most for waitTimeout, and reports whether it does.
+func holdsInTime(condition func() bool) bool {
 	deadline := time.Now().Add(waitTimeout)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for !condition() {
 		if time.Now().After(deadline) {
-			f.t.Fatalf("timed out waiting for %s", what)
+			return false
 		}
 		<-ticker.C
 	}
+	return true
 }
 
 // request sends a request in parts, each once the server has read the one before, and fails the test unless it is answered.
@@ -204,39 +211,6 @@
 	f.waitFor("no open connection", func() bool { return f.conns.Open() == 0 })
 }
 
-// TestRequestReadAsServerShutsDownIsAnswered guards against requests that a stopping server has read and drops: http.Server closes
-// connections whose request it has not parsed yet, and drops requests that it reads just after the shutdown began.
-func TestRequestReadAsServerShutsDownIsAnswered(t *testing.T) {
-	f := newFixture(t)
-	f.request(wholeRequest)
-	stopped := make(chan error, 1)
-	var once sync.Once
-	f.onRead(func() {
-		once.Do(func() {
-			go func() { stopped <- f.conns.Shutdown(context.Background()) }()
-			f.waitFor("a closed listener", func() bool {
-				c, err := net.Dial("tcp", f.address)
-				if err == nil {
-					_ = c.Close()
-				}
-				return err != nil
-			})
-			f.clock.Advance(time.Second)
-		})
-	})
-	resp := f.request(wholeRequest)
-	if !resp.Close {
-		t.Error("the answer does not ask the caller to close the connection")
-	}
-	f.waitFor("the end of the shutdown", func() bool {
-		f.clock.Advance(time.Second)
-		return len(stopped) == 1
-	})
-	if err := <-stopped; err != nil {
-		t.Errorf("the shutdown returned %v", err)
-	}
-}
-
 // TestRequestReadWithTheOneBeforeIsServed guards against requests that are cancelled although their caller waits: they were read together
 // with the one before, so that no read marks their connection as active.
 func TestRequestReadWithTheOneBeforeIsServed(t *testing.T) {
