Close a listener only once

A shutdown could fail with 'use of closed network connection' although all went well: http.Server closes the listener again if its Serve has not returned yet, and reports that error. Seen once in 10 runs of TestRequestReadAsServerShutsDownIsAnswered; an instance would have ended with a failure.

Evidence: TestListenerClosesOnce fails without the change; the tests of the package pass 40 runs with it under the race detector.

--- a/shared/connections/shutdown_test.go
+++ b/shared/connections/shutdown_test.go
@@ -52,6 +52,23 @@
 	return err != nil
 }
 
+// TestListenerClosesOnce guards against shutdowns that fail although nothing is wrong: both the tracker and http.Server close the listener.
+func TestListenerClosesOnce(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := connections.Track(&http.Server{}, clockwork.NewRealClock()).Listener(inner)
+	for range 2 {
+		if err := l.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := l.Accept(); err == nil {
+		t.Error("the listener still accepts connections")
+	}
+}
+
 // TestShutdownClosesIdleConnections checks that a shutdown does not wait for connections that their callers keep.
 func TestShutdownClosesIdleConnections(t *testing.T) {
 	f := newFixture(t)
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -149,6 +149,14 @@
 	used   atomic.Bool
 	ended  chan struct{}
 	finish sync.Once
+	closed sync.Once
+}
+
+// Close closes the listener. Later calls do nothing: http.Server reports the error of a second close as one of its shutdown.
+func (l *listener) Close() error {
+	var err error
+	l.closed.Do(func() { err = l.Listener.Close() })
+	return err
 }
 
 // Accept waits for the next connection. Once Shutdown has closed the listener, it returns http.ErrServerClosed.
