Let idle connections keep the timeout that their callers know

Beside a change of the configuration that shortens the idle timeout, callers could send a request on a connection that was just being closed: they reuse connections by the timeout that was in force when they got their last answer. Such a request is reset unread, and a booking has to be sent again.

A connection that is idle when the timeout changes keeps the longer one; those that become idle later have the new one.

Evidence: TestShorterIdleTimeoutSparesIdleConnections fails if the new timeout applies at once, and passes with the change. The tests of idle connections now use a clock of their own.

--- a/router/disconnect_test.go
+++ b/router/disconnect_test.go
@@ -79,7 +79,9 @@
 func TestIdleCallerConnectionsCloseAfterTimeout(t *testing.T) {
 	const timeout = time.Second
 	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout}
-	conns := connections.Track(server, clockwork.NewRealClock())
+	clock := clockwork.NewFakeClock()
+	conns := connections.Track(server, clock)
+	conns.SetIdleTimeout(timeout)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -106,11 +108,13 @@
 	if err := exchange(); err != nil {
 		t.Fatal(err)
 	}
-	conns.CloseIdle(timeout)
+	clock.Advance(timeout)
+	conns.CloseExpired()
 	if err := exchange(); err != nil {
 		t.Fatalf("a connection that was idle for less than the timeout was closed: %v", err)
 	}
-	for deadline := time.Now().Add(waitTimeout); ; conns.CloseIdle(0) {
+	for deadline := time.Now().Add(waitTimeout); ; conns.CloseExpired() {
+		clock.Advance(timeout)
 		_ = c.SetReadDeadline(time.Now().Add(pollInterval))
 		if _, err := in.ReadByte(); err == io.EOF {
 			return
--- a/router/serve.go
+++ b/router/serve.go
@@ -251,13 +251,14 @@
 	n.updateRetryBudget()
 }
 
-// closeIdleConns closes callers' connections that have been idle for longer than the configuration in force allows.
+// closeIdleConns closes callers' connections that have been idle for longer than the configuration allows.
 func (n *node) closeIdleConns() {
 	t := n.relay.Table()
-	if t == nil || t.Limits.IdleTimeout <= 0 {
+	if t == nil {
 		return
 	}
-	if closed := n.callerConns.CloseIdle(t.Limits.IdleTimeout); closed > 0 {
+	n.callerConns.SetIdleTimeout(t.Limits.IdleTimeout)
+	if closed := n.callerConns.CloseExpired(); closed > 0 {
 		n.logger.Info().Int("Connections", closed).Int64("TimeoutMillis", t.Limits.IdleTimeout.Milliseconds()).Int64("Version", int64(t.Version)).Msg("IdleConnectionsClosed")
 	}
 }
--- a/shared/connections/conn.go
+++ b/shared/connections/conn.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// idleSince is when the connection became idle; zero while it is active or new.
 	idleSince time.Time
+	// idleTimeout is the one that was in force when the connection became idle.
+	idleTimeout time.Duration
 	// expired is set once expire has ended the server's wait for the next request.
 	expired bool
 }
@@ -42,10 +44,10 @@
 	return errors.ErrUnsupported
 }
 
-func (c *conn) markIdle(now time.Time) {
+func (c *conn) markIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = now
+	c.idleSince, c.idleTimeout = now, timeout
 }
 
 // markActive ends the idle time. A request that was read before expire could end the wait for it is served.
@@ -81,10 +83,10 @@
 
 // expire ends the server's wait for the next request if the connection has been idle for longer than timeout and its caller has sent
 // nothing; the server then closes the connection. It reports whether it did so for the first time.
-func (c *conn) expire(now time.Time, timeout time.Duration) bool {
+func (c *conn) expire(now time.Time, timeout func(promised time.Duration) time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || now.Sub(c.idleSince) <= timeout || link.HasUnread(c.Conn) {
+	if c.idleSince.IsZero() || now.Sub(c.idleSince) <= timeout(c.idleTimeout) || link.HasUnread(c.Conn) {
 		return false
 	}
 	// net/http may reset the deadline while it begins to wait. The next call then sets it again.
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -25,6 +25,8 @@
 	clock  clockwork.Clock
 	// draining is set once Shutdown was called. Answers then ask their callers to close the connection.
 	draining atomic.Bool
+	// idleTimeout is that of connections that become idle now, in nanoseconds; 0 means that they do not expire.
+	idleTimeout atomic.Int64
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
@@ -55,8 +57,29 @@
 	return tracked
 }
 
-// CloseIdle makes the server close the connections that have been idle for longer than timeout, and returns how many these are.
-func (t *Tracker) CloseIdle(timeout time.Duration) int {
+// SetIdleTimeout sets after how long idle connections expire; 0 means never. Connections that are idle already and had a longer timeout keep
+// it, as their callers may still go by it.
+func (t *Tracker) SetIdleTimeout(d time.Duration) {
+	t.idleTimeout.Store(int64(d))
+}
+
+// CloseExpired makes the server close the connections whose idle timeout has passed, and returns how many these are.
+func (t *Tracker) CloseExpired() int {
+	timeout := time.Duration(t.idleTimeout.Load())
+	if timeout <= 0 {
+		return 0
+	}
+	return t.closeIdle(func(promised time.Duration) time.Duration { return max(promised, timeout) })
+}
+
+// CloseIdle makes the server close all idle connections, and returns how many these are.
+func (t *Tracker) CloseIdle() int {
+	return t.closeIdle(func(time.Duration) time.Duration { return 0 })
+}
+
+// closeIdle makes the server close the connections that have been idle for longer than a timeout, which depends on the one that was in
+// force when they became idle.
+func (t *Tracker) closeIdle(timeout func(promised time.Duration) time.Duration) int {
 	now := t.clock.Now()
 	closed := 0
 	t.mu.Lock()
@@ -86,7 +109,7 @@
 	ticker := t.clock.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
-		t.CloseIdle(0)
+		t.CloseIdle()
 		if t.Open() == 0 {
 			return t.server.Shutdown(ctx)
 		}
@@ -132,7 +155,7 @@
 		// The request may have been read together with the one before.
 		tracked.markServing()
 	case http.StateIdle:
-		tracked.markIdle(t.clock.Now())
+		tracked.markIdle(t.clock.Now(), time.Duration(t.idleTimeout.Load()))
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
 		defer t.mu.Unlock()
--- a/shared/connections/tracker_test.go
+++ b/shared/connections/tracker_test.go
@@ -104,7 +104,7 @@
 // expireAll closes the connections that count as idle.
 func (f *fixture) expireAll() {
 	f.clock.Advance(time.Second)
-	f.conns.CloseIdle(0)
+	f.conns.CloseIdle()
 }
 
 // onRead sets what happens after each read, before its bytes are returned.
@@ -161,6 +161,8 @@
 	return resp
 }
 
+const idleTimeout = time.Minute
+
 const wholeRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // isClosed reports whether the server has closed the client's connection. It waits a little for that.
@@ -194,15 +196,17 @@
 // is counted once.
 func TestIdleConnectionIsClosedAfterTimeout(t *testing.T) {
 	f := newFixture(t)
+	f.conns.SetIdleTimeout(idleTimeout)
 	f.request(wholeRequest)
-	if n := f.conns.CloseIdle(time.Minute); n != 0 {
+	f.clock.Advance(idleTimeout)
+	if n := f.conns.CloseExpired(); n != 0 {
 		t.Fatalf("%d connections were closed before the timeout", n)
 	}
 	f.request(wholeRequest)
 	closed := 0
 	f.waitFor("a closed connection", func() bool {
 		f.clock.Advance(time.Second)
-		closed += f.conns.CloseIdle(0)
+		closed += f.conns.CloseExpired()
 		return f.isClosed()
 	})
 	if closed != 1 {
@@ -227,7 +231,7 @@
 	}
 	ctx := <-running
 	f.clock.Advance(time.Minute)
-	if closed := f.conns.CloseIdle(0); closed != 0 {
+	if closed := f.conns.CloseIdle(); closed != 0 {
 		t.Errorf("%d connections count as idle", closed)
 	}
 	if err := ctx.Err(); err != nil {
@@ -257,7 +261,26 @@
 	f.waitFor("a read", func() bool { return f.reads.Load() > reads })
 	f.waitFor("no open connection", func() bool {
 		f.clock.Advance(time.Second)
-		f.conns.CloseIdle(0)
+		f.conns.CloseIdle()
 		return f.conns.Open() == 0
 	})
 }
+
+// TestShorterIdleTimeoutSparesIdleConnections guards against closing connections that their callers are about to use: a new configuration
+// shortens the timeout, and callers go by the one that was in force when they got their last answer.
+func TestShorterIdleTimeoutSparesIdleConnections(t *testing.T) {
+	f := newFixture(t)
+	f.conns.SetIdleTimeout(idleTimeout)
+	f.request(wholeRequest)
+	f.conns.SetIdleTimeout(idleTimeout / 10)
+	f.clock.Advance(idleTimeout / 2)
+	if n := f.conns.CloseExpired(); n != 0 {
+		t.Errorf("%d connections were closed before the timeout that their callers know", n)
+	}
+	f.request(wholeRequest)
+	f.waitFor("a closed connection", func() bool {
+		f.clock.Advance(idleTimeout / 10)
+		f.conns.CloseExpired()
+		return f.isClosed()
+	})
+}
