Do not count a slow caller as its endpoint's silence

Callers that are slow to take an event had their stream moved to another endpoint, which spent the retry budget and paused an endpoint that had never been silent: the watchdog ran on while an event was written to the caller.

The watchdog is now paused except while the endpoint is waited for.

Evidence: TestSlowCallerKeepsItsStream takes two runs without the pause and one with it.

--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -50,7 +50,7 @@
 	defer release()
 	a := j.newAttempt()
 	a.PrefillOnly = true
-	w := newWatchdog(ctx, j.relay.clock, max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)))
+	w := newWatchdog(ctx, j.relay.clock, max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)), nil)
 	defer w.close()
 	j.beginExchange(e)
 	answer, err := j.relay.sender.Send(w.ctx, e, a)
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -48,6 +48,10 @@
 	sendsNoEvents
 	// fallsSilent runs the request, sends nothing for silence after the first events, and goes on.
 	fallsSilent
+	// stopsWhenCancelled runs the request and sends its events without a pause until the sender cancels.
+	stopsWhenCancelled
+	// beginsWithComment runs the request, sends a comment, nothing for silence, and then all events.
+	beginsWithComment
 )
 
 // streamEvents is how many events a complete stream has.
@@ -123,7 +127,7 @@
 		}
 		first = last + 1
 	}
-	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, silent: b == fallsSilent, onSilence: f.onSilence, ctx: ctx}}, nil
+	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, silent: b == fallsSilent || b == beginsWithComment, stopsWhenCancelled: b == stopsWhenCancelled, commentFirst: b == beginsWithComment, silentAtOnce: b == beginsWithComment, onSilence: f.onSilence, ctx: ctx}}, nil
 }
 
 func (f *fakeSender) Prefilled(a *relay.Answer) (string, error) {
@@ -142,12 +146,20 @@
 	comments  bool
 	slow      bool
 	// silent is set until the endpoint has been silent for a while.
-	silent    bool
-	onSilence func()
-	ctx       context.Context
+	silent bool
+	// commentFirst is set until a comment was sent in place of the first events.
+	commentFirst       bool
+	stopsWhenCancelled bool
+	// silentAtOnce is set if the endpoint is silent before the first event.
+	silentAtOnce bool
+	onSilence    func()
+	ctx          context.Context
 }
 
 func (b *body) Next() (relay.Event, error) {
+	if b.stopsWhenCancelled && b.ctx.Err() != nil {
+		return relay.Event{}, net.ErrClosed
+	}
 	if b.breaksOff && b.next > streamEvents/2 {
 		return relay.Event{}, io.ErrUnexpectedEOF
 	}
@@ -163,7 +175,11 @@
 			return relay.Event{Bytes: []byte(comment)}, nil
 		}
 	}
-	if b.silent && b.next > streamEvents/2 {
+	if b.commentFirst {
+		b.commentFirst = false
+		return relay.Event{Bytes: []byte(comment)}, nil
+	}
+	if b.silent && (b.next > streamEvents/2 || b.silentAtOnce) {
 		b.silent = false
 		b.onSilence()
 		select {
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -58,10 +58,11 @@
 	}
 	release := j.countInFlight(e, tokens)
 	defer release()
-	w := newWatchdog(ctx, j.relay.clock, j.responseTimeout(e))
+	w := newWatchdog(ctx, j.relay.clock, j.responseTimeout(e), nil)
 	defer w.close()
 	j.beginExchange(e)
 	a, err := j.relay.sender.Send(w.ctx, e, j.newAttempt())
+	w.pause()
 	err = w.explain(err)
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
@@ -88,7 +89,6 @@
 	if j.route.Kind == route.Stream && a.Success() {
 		return j.forwardStream(ctx, w, e, a)
 	}
-	w.stop()
 	return j.forwardAnswer(ctx, e, a)
 }
 
@@ -154,23 +154,28 @@
 
 // forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished.
 func (j *job) forwardStream(ctx context.Context, w *watchdog, e *roster.Endpoint, a *Answer) bool {
-	mayCancel := j.mayMoveStream(e)
+	var mayCancel func() bool
 	for {
+		w.resume(mayCancel)
 		event, err := a.Body.Next()
+		// A caller that is slow to take an event does not make the endpoint silent.
+		w.pause()
 		if errors.Is(err, io.EOF) {
 			return j.finishStream(e, a)
 		}
 		if err != nil {
-			w.stop()
 			j.meterOnce()
 			j.recordFailure(ctx, e, w.explain(err))
 			return false
 		}
 		if event.HasData {
-			w.reset(eventTimeoutPauses*j.route.MaxPause, mayCancel)
+			w.reset(eventTimeoutPauses * j.route.MaxPause)
 			j.meterOnce()
 		}
 		j.forwardHead(e, a)
+		if event.HasData {
+			mayCancel = j.mayMove(e)
+		}
 		if err := j.caller.Event(event.Bytes); err != nil {
 			j.observe("Aborted", e, a.Status, "writing an event to the client failed", err)
 			j.caller.Abort()
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"cowslipshunt.example/serving/relay"
 )
@@ -41,6 +42,34 @@
 	h.expectWholeStream(t, "Waited")
 }
 
+// slowCaller takes the first event only after silence.
+type slowCaller struct {
+	fakeCaller
+}
+
+func (c *slowCaller) Event(e []byte) error {
+	if c.events == "" {
+		<-time.After(silence)
+	}
+	return c.fakeCaller.Event(e)
+}
+
+// TestSlowCallerKeepsItsStream guards against streams that are taken from an endpoint that was never silent: their caller is slow to take
+// the events.
+func TestSlowCallerKeepsItsStream(t *testing.T) {
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		return stopsWhenCancelled
+	})
+	c := &slowCaller{}
+	h.relay.Serve(t.Context(), &relay.Request{ID: "r", Arrived: time.Now(), Method: "POST", Path: "/resume/", Host: "h", Prompt: prompt()}, c)
+	if !c.ended || h.sender.runs != 1 {
+		t.Errorf("got %q, ended %v, after %d runs", c.events, c.ended, h.sender.runs)
+	}
+}
+
 // expectWholeStream requests a resumable stream and fails the test unless it comes whole from one run, with a decision of the given step.
 func (h *harness) expectWholeStream(t *testing.T, step string) {
 	t.Helper()
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -38,21 +38,23 @@
 	mu sync.Mutex
 	// timer is nil if the watchdog never cancels the send by itself.
 	timer clockwork.Timer
-	// limit is the time without data; it ends at expiry. The watchdog is stopped while limit is 0.
-	limit  time.Duration
-	expiry time.Time
+	// limit is the time without data. While the watchdog runs, it ends at expiry; while it is paused, left is what remains of it.
+	limit, left time.Duration
+	expiry      time.Time
+	running     bool
 	// mayCancel reports whether the send may be cancelled at the end of limit; nil allows it. If it does not, the limit starts anew.
 	mayCancel func() bool
 }
 
-// newWatchdog starts a watchdog whose context is that of the send. With a limit of 0 it never cancels the send by itself.
-func newWatchdog(ctx context.Context, clock clockwork.Clock, limit time.Duration) *watchdog {
-	w := &watchdog{clock: clock}
+// newWatchdog starts a watchdog whose context is that of the send. With a limit of 0 it never cancels the send by itself. At the end of the
+// limit the send is cancelled if mayCancel allows it.
+func newWatchdog(ctx context.Context, clock clockwork.Clock, limit time.Duration, mayCancel func() bool) *watchdog {
+	w := &watchdog{clock: clock, limit: limit, mayCancel: mayCancel}
 	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	if limit > 0 {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.limit, w.expiry = limit, clock.Now().Add(limit)
+		w.expiry, w.running = clock.Now().Add(limit), true
 		w.timer = clock.AfterFunc(limit, w.expire)
 	}
 	return w
@@ -62,7 +64,7 @@
 func (w *watchdog) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.limit == 0 || w.clock.Now().Before(w.expiry) {
+	if !w.running || w.clock.Now().Before(w.expiry) {
 		return
 	}
 	if w.mayCancel != nil && !w.mayCancel() {
@@ -72,32 +74,51 @@
 	w.cancel(errNoData)
 }
 
-// start starts a limit. The caller must hold the lock.
+// start lets the watchdog run until a limit ends. The caller must hold the lock.
 func (w *watchdog) start(limit time.Duration) {
-	w.limit, w.expiry = limit, w.clock.Now().Add(limit)
+	w.running, w.expiry = true, w.clock.Now().Add(limit)
 	w.timer.Reset(limit)
 }
 
-// stop ends the limit without cancelling the send. Once it has returned, mayCancel is not called.
-func (w *watchdog) stop() {
+// pause stops the limit while the endpoint is not waited for. Once it has returned, mayCancel is not called.
+func (w *watchdog) pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limit = 0
-	if w.timer != nil {
-		w.timer.Stop()
+	if !w.running {
+		return
 	}
+	w.running = false
+	w.timer.Stop()
+	w.left = max(w.expiry.Sub(w.clock.Now()), minRest)
 }
 
-// reset starts the limit for the next event of a stream, at whose end the send is cancelled if mayCancel allows it. The watchdog stays
-// stopped if the limit is 0 or it was started without one.
-func (w *watchdog) reset(limit time.Duration, mayCancel func() bool) {
+// minRest is the least that remains of a limit after a pause.
+const minRest = time.Millisecond
+
+// reset sets the limit for the next event of a stream, from the next resume on. It has no effect if the limit is 0 or the watchdog was
+// started without one.
+func (w *watchdog) reset(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.timer == nil || limit <= 0 {
-		return
+	if limit > 0 {
+		w.limit, w.left = limit, limit
+	}
+}
+
+// resume lets the limit go on, at whose end the send is cancelled if mayCancel allows it.
+func (w *watchdog) resume(mayCancel func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil && !w.running {
+		w.mayCancel = mayCancel
+		w.start(w.left)
 	}
-	w.mayCancel = mayCancel
-	w.start(limit)
+}
+
+// close ends the limit and cancels the context of the send.
+func (w *watchdog) close() {
+	w.pause()
+	w.cancel(nil)
 }
 
 // explain returns err, the failure of the send, with errNoData if the watchdog caused it: the send itself reports only that its connection
@@ -109,12 +130,6 @@
 	return fmt.Errorf("%w: %w", errNoData, err)
 }
 
-// close ends the limit and cancels the context of the send.
-func (w *watchdog) close() {
-	w.stop()
-	w.cancel(nil)
-}
-
 // responseTimeout returns how long to wait for the head of an endpoint's answer, or for the first event of a stream. For a
 // stream whose prompt the endpoint prefills itself, this includes the estimated prefill time. It is 0, no limit, if the route has
 // no goal or the request cannot be repeated at another endpoint: cancelling it would then gain nothing.
@@ -129,10 +144,14 @@
 	return limit
 }
 
-// mayMoveStream returns a function that reports whether a stream from endpoint e, which has been silent for too long, may be cancelled to
-// be resumed elsewhere: another endpoint has to be open, and the send there is taken from the retry budget at once. Otherwise the stream
-// would be lost although e may go on with it. The function must not be called once the request has left e.
-func (j *job) mayMoveStream(e *roster.Endpoint) func() bool {
+// mayMove returns a function that reports whether a stream of which the caller has the head may be taken from endpoint e, which has been
+// silent for too long: another endpoint has to be open, and the send there is taken from the retry budget at once. Otherwise the stream
+// would be lost although e may go on with it. The function must not be called once the request has left e. It is nil for other requests:
+// they end with a refusal, after which their callers may send them again.
+func (j *job) mayMove(e *roster.Endpoint) func() bool {
+	if !j.streaming {
+		return nil
+	}
 	return func() bool {
 		if len(j.endpoints(j.needElsewhere(e))) == 0 {
 			j.observeWait(e, "the endpoint is silent, and no other endpoint is open")
