Keep silent streams before their first event too

A caller that had the head of a stream, and at most comments, saw the stream aborted if its sound endpoint was silent for longer than the limit and the stream could not go on elsewhere: the condition of 'Keep silent streams that cannot go on elsewhere' applied only after the first event. Found in review.

It now applies from the head of the stream on, and to the wait for the head of a resumption. Requests whose caller has nothing yet are still given up at the limit: they end with a refusal, and their callers may send them again.

Evidence: TestSilentStreamIsKeptBeforeItsFirstEvent fails without the change ('ended false, aborted true'), the package's tests pass with it.

--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -58,7 +58,7 @@
 	}
 	release := j.countInFlight(e, tokens)
 	defer release()
-	w := newWatchdog(ctx, j.relay.clock, j.responseTimeout(e), nil)
+	w := newWatchdog(ctx, j.relay.clock, j.responseTimeout(e), j.mayMove(e))
 	defer w.close()
 	j.beginExchange(e)
 	a, err := j.relay.sender.Send(w.ctx, e, j.newAttempt())
@@ -154,9 +154,8 @@
 
 // forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished.
 func (j *job) forwardStream(ctx context.Context, w *watchdog, e *roster.Endpoint, a *Answer) bool {
-	var mayCancel func() bool
 	for {
-		w.resume(mayCancel)
+		w.resume(j.mayMove(e))
 		event, err := a.Body.Next()
 		// A caller that is slow to take an event does not make the endpoint silent.
 		w.pause()
@@ -173,9 +172,6 @@
 			j.meterOnce()
 		}
 		j.forwardHead(e, a)
-		if event.HasData {
-			mayCancel = j.mayMove(e)
-		}
 		if err := j.caller.Event(event.Bytes); err != nil {
 			j.observe("Aborted", e, a.Status, "writing an event to the client failed", err)
 			j.caller.Abort()
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -42,6 +42,18 @@
 	h.expectWholeStream(t, "Waited")
 }
 
+// TestSilentStreamIsKeptBeforeItsFirstEvent guards against the same when the caller has the head of the stream and no event yet.
+func TestSilentStreamIsKeptBeforeItsFirstEvent(t *testing.T) {
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		return beginsWithComment
+	})
+	h.sender.onSilence = func() { h.relay.SetBudget(0, 0) }
+	h.expectWholeStream(t, "Waited")
+}
+
 // slowCaller takes the first event only after silence.
 type slowCaller struct {
 	fakeCaller
