Send nothing more to an endpoint that says in an answer that it leaves

What callers saw: nothing yet. The platform's new rule is that an endpoint that leaves says so in all its answers, and that no request of a later moment may reach it from the instance that passed such an answer on, whatever the store lists (DRAIN). The field was not read.

Cause: an endpoint counted as leaving only by its row in the store. While the store is away, or its row is late, requests went on.

Change: the adapter decodes the field into Answer.Leaving. The relay marks the incarnation on the head of any answer: of a request, a prefill, a rejection, a stream, a freed KV cache; not on one that was misdirected, which another endpoint sent. The mark belongs to the incarnation and not to its listing, so a row without it, or one that disappears and returns, does not take it back; another start time at the id begins without it. Attempt.Permit asks again right before the first byte, as a request may have waited for a connection since it was chosen; such a send is withdrawn, which is no failure of the endpoint and no run. Peers learn marks with the load reports, by id and start time, in a field of the datagram of its own: the report's array keeps its length, so instances of the earlier version read it as before. The counts of endpoints to order treat a marked one as leaving. A KV cache that was prefilled there for the same request is still fetched.

Ruled out: the mark in the roster's entry, which each row replaces; a longer array in the report, which earlier versions cannot decode; dropping a KV cache at an endpoint that leaves, since its request ran there before the endpoint said so.

--- a/router/logger.go
+++ b/router/logger.go
@@ -116,6 +116,22 @@
 	d.logger.Info().Str("Dependency", "Domain").Str("Domain", string(name)).Msg("DependencyRegained")
 }
 
+// EndpointNoticed logs and counts what an endpoint has said about itself in an answer.
+func (d decisionLog) EndpointNoticed(n relay.Notice) {
+	d.logNotice(n.Endpoint, n.Step, n.Source).Str("Request", string(n.Request)).Msg(n.Step)
+}
+
+// logLeavingByPeer logs and counts that a peer has reported that an endpoint leaves.
+func (d decisionLog) logLeavingByPeer(k roster.Key, from wire.InstanceName) {
+	d.logNotice(k, "EndpointLeaving", "peer").Str("Peer", string(from)).Msg("EndpointLeaving")
+}
+
+// logNotice counts a change of what is believed of an endpoint and returns the line that logs it.
+func (d decisionLog) logNotice(k roster.Key, step, source string) *log.Entry {
+	metrics.GetOrCreateCounter(`router_endpoint_notices_total{step="` + step + `",source="` + source + `"}`).Inc()
+	return d.logger.Info().Str("Endpoint", string(k.ID)).Int64("Born", k.Born).Str("Source", source)
+}
+
 // logSuspected logs that an endpoint is avoided, or no longer is, because of the number of peers that avoid it.
 func (d decisionLog) logSuspected(e *roster.Endpoint, peers int, avoided bool) {
 	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", peers).Bool("Avoided", avoided).Msg("EndpointSuspected")
--- a/router/peers.go
+++ b/router/peers.go
@@ -41,6 +41,8 @@
 	Handoff *metering.Handoff   `cbor:"2,keyasint,omitempty"`
 	Applied *appliedVersions    `cbor:"3,keyasint,omitempty"`
 	Update  *replication.Update `cbor:"4,keyasint,omitempty"`
+	// Leaving belongs to the report.
+	Leaving []peerload.Departure `cbor:"6,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -176,6 +178,7 @@
 		return
 	}
 	if m.Report != nil {
+		m.Report.Leaving = m.Leaving
 		p.peerLoads.Apply(*m.Report, time.Now())
 		p.handoffs.SetIncarnation(m.Report.From, m.Report.Incarnation)
 	}
@@ -233,7 +236,7 @@
 // broadcast sends a report to all peers. A report that does not fit into a datagram is shortened until it does. One that does not
 // fit although it has neither sent parts nor loads left is logged and not sent.
 func (p *peers) broadcast(report peerload.Report, addresses []string) {
-	m := message{Report: &report}
+	m := message{Report: &report, Leaving: report.Leaving}
 	if f := p.tableFollowers(); f != nil {
 		applied := f.applied()
 		m.Applied = &applied
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -75,6 +75,7 @@
 			Changes: []peerload.StageChange{{Endpoint: "i-1", To: roster.Prefill}}, Paused: []wire.EndpointId{"i-1"}}},
 		{Handoff: &metering.Handoff{Instance: "peer", Incarnation: "2", Window: 1, Counts: metering.Counts{"w": 1}, Made: 1}},
 		{Applied: &appliedVersions{Configuration: 3, Endpoints: 4}},
+		{Report: &peerload.Report{From: "peer", Incarnation: "2", Sequence: 2}, Leaving: []peerload.Departure{{Endpoint: "i-1", Born: 1}}},
 	}
 	var seeds [][]byte
 	for _, m := range messages {
--- a/router/serve.go
+++ b/router/serve.go
@@ -107,7 +107,7 @@
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
 	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
 	observer := decisionLog{logger: logger}
-	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected))
+	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(heldBytes(s.MemoryBytes)))
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent))
--- a/serving/fleet/fleet_test.go
+++ b/serving/fleet/fleet_test.go
@@ -174,3 +174,17 @@
 		t.Errorf("the first lease holder's targets are %+v", targets)
 	}
 }
+
+// TestEndpointThatSaysItLeavesIsReplaced guards against a fleet that stays short until the store lists the endpoint as leaving.
+func TestEndpointThatSaysItLeavesIsReplaced(t *testing.T) {
+	f := newFixture()
+	f.add("a", true, roster.Decode, 3)
+	f.list()[0].MarkLeaving()
+	if n := fleet.CountListed(f.list(), "a", true); n != 2 {
+		t.Errorf("%d endpoints count, want 2", n)
+	}
+	f.list()[2].MarkLeaving()
+	if changes := policy.StageChanges(f.list()); len(changes) != 1 || changes[0].Endpoint.Entry().ID != "0002" {
+		t.Errorf("got the stage changes %+v, want that of the engine that stays", changes)
+	}
+}
--- a/serving/fleet/policy.go
+++ b/serving/fleet/policy.go
@@ -39,7 +39,7 @@
 func (p Policy) StageChanges(list []*roster.Endpoint) []StageChange {
 	domains := map[wire.DomainName][]*roster.Endpoint{}
 	for _, e := range list {
-		if entry := e.Entry(); entry.Stage != roster.NoStage && !entry.Leaving {
+		if entry := e.Entry(); entry.Stage != roster.NoStage && !e.Leaving() {
 			domains[entry.Domain] = append(domains[entry.Domain], e)
 		}
 	}
--- a/serving/fleet/scaler.go
+++ b/serving/fleet/scaler.go
@@ -94,7 +94,7 @@
 func CountListed(list []*roster.Endpoint, d wire.DomainName, spot bool) int {
 	n := 0
 	for _, e := range list {
-		if entry := e.Entry(); entry.Domain == d && entry.Spot == spot && !entry.Leaving {
+		if entry := e.Entry(); entry.Domain == d && entry.Spot == spot && !e.Leaving() {
 			n++
 		}
 	}
@@ -104,7 +104,7 @@
 // spotLeaving reports whether a spot endpoint of a failure domain is leaving.
 func spotLeaving(list []*roster.Endpoint, d wire.DomainName) bool {
 	for _, e := range list {
-		if entry := e.Entry(); entry.Domain == d && entry.Spot && entry.Leaving {
+		if entry := e.Entry(); entry.Domain == d && entry.Spot && e.Leaving() {
 			return true
 		}
 	}
--- a/serving/peerload/report.go
+++ b/serving/peerload/report.go
@@ -35,6 +35,14 @@
 	To       roster.Stage
 }
 
+// Departure is an incarnation of an endpoint that has said in an answer that it leaves.
+type Departure struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint wire.EndpointId
+	// Born is the start of the incarnation, in Unix milliseconds.
+	Born int64
+}
+
 // Report is the state of one instance. Of two reports of one incarnation, the one with the higher Sequence is newer; its loads and
 // paused endpoints replace those of the other.
 type Report struct {
@@ -52,6 +60,9 @@
 	Changes []StageChange
 	// Paused are the endpoints that the sender avoids because they failed or rejected a request.
 	Paused []wire.EndpointId
+	// Leaving are endpoints that told the sender that they leave, at most maxReportedLeaving in one report. They are not part of the encoded
+	// array, whose length instances of other versions know.
+	Leaving []Departure `cbor:"-"`
 }
 
 // Shortened returns the report without the second half of its sent parts. If it has none, the report loses the half of its loads
@@ -70,5 +81,8 @@
 	return r
 }
 
+// maxReportedLeaving bounds the leaving endpoints in one report. If there are more, the reports name them in turn.
+const maxReportedLeaving = 16
+
 // maxPausedWhenShort is how many paused endpoints a shortened report keeps.
 const maxPausedWhenShort = 16
--- a/serving/peerload/reporter.go
+++ b/serving/peerload/reporter.go
@@ -23,10 +23,14 @@
 	// lastLoads and lastPaused are those of the last report.
 	lastLoads  []Load
 	lastPaused []wire.EndpointId
+	// lastLeaving are all endpoints that had told this instance that they leave when the last report was built.
+	lastLeaving []Departure
 	// unreported are the parts sent since the last report. reportedOnce were in the last report and are repeated in the next one,
 	// so that peers receive them even if one report is lost.
 	unreported   []SentParts
 	reportedOnce []SentParts
+	// leavingTurn is the index of the first leaving endpoint in the next report if there are more than fit.
+	leavingTurn int
 	// orders are this instance's stage orders, which are removed by the first report after their deadline.
 	orders map[wire.EndpointId]stageOrder
 }
@@ -66,17 +70,19 @@
 	loads := r.loads()
 	changes := r.changes(now)
 	paused := r.paused(now)
+	leaving := r.leaving()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := len(changes) > 0 || len(r.unreported) > 0 || len(r.reportedOnce) > 0 || !slices.Equal(loads, r.lastLoads) || !slices.Equal(paused, r.lastPaused)
+	changed := len(changes) > 0 || len(r.unreported) > 0 || len(r.reportedOnce) > 0 || !slices.Equal(loads, r.lastLoads) || !slices.Equal(paused, r.lastPaused) || !slices.Equal(leaving, r.lastLeaving)
 	report := r.template
 	r.sequence++
 	report.Sequence = r.sequence
 	report.Loads = loads
 	report.Changes = changes
 	report.Paused = paused
+	report.Leaving = r.nextLeaving(leaving)
 	report.Sent = append(slices.Clone(r.unreported), r.reportedOnce...)
-	r.lastLoads, r.lastPaused = loads, paused
+	r.lastLoads, r.lastPaused, r.lastLeaving = loads, paused, leaving
 	r.reportedOnce, r.unreported = r.unreported, nil
 	return report, changed
 }
@@ -114,6 +120,32 @@
 	return list
 }
 
+// leaving returns the listed endpoints that told this instance that they leave.
+func (r *Reporter) leaving() []Departure {
+	var list []Departure
+	for id, e := range r.directory.View().All() {
+		if e.ToldLeaving() {
+			list = append(list, Departure{Endpoint: id, Born: e.Entry().Born})
+		}
+	}
+	slices.SortFunc(list, func(a, b Departure) int { return strings.Compare(string(a.Endpoint), string(b.Endpoint)) })
+	return list
+}
+
+// nextLeaving returns the part of the leaving endpoints that the next report names. The caller must hold the lock.
+func (r *Reporter) nextLeaving(all []Departure) []Departure {
+	n := len(all)
+	if n <= maxReportedLeaving {
+		return all
+	}
+	list := make([]Departure, maxReportedLeaving)
+	for i := range list {
+		list[i] = all[(r.leavingTurn+i)%n]
+	}
+	r.leavingTurn = (r.leavingTurn + maxReportedLeaving) % n
+	return list
+}
+
 func (r *Reporter) loads() []Load {
 	var loads []Load
 	for id, e := range r.directory.View().All() {
--- a/serving/peerload/table.go
+++ b/serving/peerload/table.go
@@ -39,6 +39,8 @@
 	// onSuspected is called when this instance starts or stops avoiding an endpoint because enough peers do, at most once in
 	// announceInterval for each endpoint.
 	onSuspected func(e *roster.Endpoint, peers int, suspected bool)
+	// onLeaving is called when a peer's report says for the first time that an endpoint leaves.
+	onLeaving func(k roster.Key, from wire.InstanceName)
 }
 
 // Option configures a Table.
@@ -52,6 +54,13 @@
 	}
 }
 
+// WithLeaving sets a function that is called when a peer's report says that an endpoint leaves and this instance did not know it.
+func WithLeaving(onLeaving func(k roster.Key, from wire.InstanceName)) Option {
+	return func(t *Table) {
+		t.onLeaving = onLeaving
+	}
+}
+
 type endpointSum struct {
 	// prefillTokens and inFlight are the sums over all peers' loads.
 	prefillTokens, inFlight int
@@ -81,6 +90,7 @@
 		peers:       map[wire.InstanceName]*peer{},
 		sums:        map[wire.EndpointId]*endpointSum{},
 		onSuspected: func(*roster.Endpoint, int, bool) {},
+		onLeaving:   func(roster.Key, wire.InstanceName) {},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -111,7 +121,13 @@
 			e.SetChangingStage(c.To, now.Add(changeLifetime))
 		}
 	}
-	r.Sent, r.Changes = nil, nil
+	for _, x := range r.Leaving {
+		k := roster.Key{ID: x.Endpoint, Born: x.Born}
+		if t.directory.MarkLeaving(k) {
+			t.onLeaving(k, r.From)
+		}
+	}
+	r.Sent, r.Changes, r.Leaving = nil, nil, nil
 	t.peers[r.From] = &peer{report: r, received: now}
 	t.add(r, 1)
 	if known {
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"cowslipshunt.example/serving/placement"
@@ -54,9 +53,8 @@
 	defer w.close()
 	j.beginExchange(e)
 	answer, err := j.relay.sender.Send(w.ctx, e, a)
-	var neverSent *NeverSentError
-	if errors.As(err, &neverSent) {
-		j.recordFailure(ctx, e, err)
+	j.relay.note(e, answer, sourcePrefill, j.request.ID)
+	if j.recordUnsent(ctx, e, err) {
 		return false
 	}
 	if err != nil {
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -124,7 +124,7 @@
 	return string(text), err
 }
 
-func (f *fakeSender) Free(*relay.Source) { f.freed++ }
+func (f *fakeSender) Free(*relay.Source, func(*relay.Answer)) { f.freed++ }
 
 // body is the body of a fake answer: a text, or a stream of the events 1 to streamEvents of which next is sent next.
 type body struct {
--- a/serving/relay/harness_test.go
+++ b/serving/relay/harness_test.go
@@ -55,6 +55,7 @@
 	paused, domains []string
 	// decisions are all decisions in order.
 	decisions []relay.Decision
+	notices   []relay.Notice
 }
 
 func (r *recorder) Began(wire.WorkspaceName) { r.began++ }
@@ -67,6 +68,7 @@
 func (r *recorder) DomainUnreachable(d wire.DomainName, _ time.Duration) {
 	r.domains = append(r.domains, "unreachable "+string(d))
 }
+func (r *recorder) EndpointNoticed(n relay.Notice) { r.notices = append(r.notices, n) }
 func (r *recorder) DomainReachable(d wire.DomainName) {
 	r.domains = append(r.domains, "reachable "+string(d))
 }
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -219,7 +219,8 @@
 // freeSource frees a prefilled KV cache that no decode engine has fetched.
 func (j *job) freeSource() {
 	if j.source != nil {
-		j.relay.sender.Free(j.source)
+		r, e, id := j.relay, j.source.Endpoint, j.request.ID
+		r.sender.Free(j.source, func(a *Answer) { r.note(e, a, sourceFree, id) })
 		j.source = nil
 	}
 }
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -29,6 +29,8 @@
 	DomainUnreachable(d wire.DomainName, pause time.Duration)
 	// DomainReachable is called when an endpoint of a failure domain that was unreachable has answered.
 	DomainReachable(d wire.DomainName)
+	// EndpointNoticed is called when an endpoint has said something about itself that is new.
+	EndpointNoticed(n Notice)
 }
 
 // Decision is one decision on a request with the data that it was based on.
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -65,7 +65,9 @@
 	NotRun bool
 	// Misdirected is set if another incarnation now has the endpoint's address; it did not run the request.
 	Misdirected bool
-	Body        Body
+	// Leaving is set if the endpoint stated that it leaves and wants no new requests.
+	Leaving bool
+	Body    Body
 }
 
 // Success reports whether the status is 2xx.
@@ -96,12 +98,14 @@
 // Sender sends requests to endpoints.
 type Sender interface {
 	// Send sends an attempt and returns the answer once its head is received. A NeverSentError means that the endpoint cannot
-	// have run the request; after any other error it may have.
+	// have run the request, nor can it after the WithdrawnError of Attempt.Permit, which Send calls right before the first byte; after any
+	// other error it may have.
 	Send(ctx context.Context, e *roster.Endpoint, a *Attempt) (*Answer, error)
 	// Prefilled returns the handle of the KV cache from the answer to a prefill.
 	Prefilled(a *Answer) (handle string, err error)
-	// Free makes an endpoint drop a KV cache that no other endpoint will fetch.
-	Free(s *Source)
+	// Free makes an endpoint drop a KV cache that no other endpoint will fetch. The function is called, possibly later, with the head of
+	// the endpoint's answer if there is one.
+	Free(s *Source, answered func(a *Answer))
 }
 
 // NeverSentError is the error of an attempt of which no byte was sent, such as a failed dial.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -62,9 +62,8 @@
 	defer w.close()
 	j.beginExchange(e)
 	a, err := j.relay.sender.Send(w.ctx, e, j.newAttempt())
-	var neverSent *NeverSentError
-	if errors.As(err, &neverSent) {
-		j.recordFailure(ctx, e, err)
+	j.relay.note(e, a, sourceRequest, j.request.ID)
+	if j.recordUnsent(ctx, e, err) {
 		return false
 	}
 	j.sent++
--- a/serving/roster/directory.go
+++ b/serving/roster/directory.go
@@ -41,6 +41,8 @@
 	endpoints map[wire.EndpointId]*Endpoint
 	// lapsed are the endpoints whose entries disappeared during a store outage or its grace period.
 	lapsed map[wire.EndpointId]struct{}
+	// unlisted are the restrictions of incarnations that are not listed, the oldest first.
+	unlisted []remembered
 	// storeDown is set during an outage of the store; graceEnd is when lapsed endpoints are dropped after it.
 	storeDown bool
 	graceEnd  time.Time
@@ -88,11 +90,11 @@
 		return false
 	}
 	if known && e.Entry().Key != entry.Key {
-		e.removed.Store(true)
+		d.retire(e)
 		known = false
 	}
 	if !known {
-		e = &Endpoint{hash: xxhash.Sum64String(string(entry.ID))}
+		e = &Endpoint{hash: xxhash.Sum64String(string(entry.ID)), restrictions: d.recall(entry.Key)}
 		d.endpoints[entry.ID] = e
 	}
 	e.entry.Store(&entry)
@@ -113,7 +115,7 @@
 	if !known {
 		return false
 	}
-	if !e.Entry().Leaving && (d.storeDown || now.Before(d.graceEnd)) {
+	if !e.Leaving() && (d.storeDown || now.Before(d.graceEnd)) {
 		d.lapsed[id] = struct{}{}
 		return false
 	}
@@ -154,12 +156,18 @@
 
 func (d *Directory) drop(id wire.EndpointId) {
 	if e, known := d.endpoints[id]; known {
-		e.removed.Store(true)
+		d.retire(e)
 	}
 	delete(d.endpoints, id)
 	delete(d.lapsed, id)
 }
 
+// retire marks an incarnation as removed.
+func (d *Directory) retire(e *Endpoint) {
+	e.removed.Store(true)
+	d.remember(e.Entry().Key, e.restrictions)
+}
+
 // Batch runs change and then publishes all of its changes in one view, which saves building a view for each. Only one goroutine
 // may call it at a time.
 func (d *Directory) Batch(change func()) {
--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -40,7 +40,7 @@
 	Domain  wire.DomainName
 	Slots   int
 	Stage   Stage
-	// Leaving is set while the endpoint drains: it accepts no new requests.
+	// Leaving is set while the platform lists the endpoint as draining: it accepts no new requests.
 	Leaving bool
 	// Spot endpoints cost less but may be reclaimed, all those of a failure domain at once.
 	Spot bool
@@ -65,6 +65,8 @@
 	// suspected is set while several other instances avoid the endpoint after failures.
 	suspected atomic.Bool
 	cache     cache
+	// restrictions are what this incarnation has asked of this instance.
+	restrictions *restrictions
 }
 
 // stageChange is an order to another stage, which is expected to complete by a deadline.
@@ -86,7 +88,7 @@
 // Available reports whether new requests may be sent to the endpoint: it is listed and not draining, paused, suspected or changing
 // its stage.
 func (e *Endpoint) Available(now time.Time) bool {
-	return !e.removed.Load() && !e.Entry().Leaving && !e.backoff.paused(now) && !e.suspected.Load() && !e.changingStage(now)
+	return !e.removed.Load() && !e.Leaving() && !e.backoff.paused(now) && !e.suspected.Load() && !e.changingStage(now)
 }
 
 // Listed reports whether this incarnation of the endpoint is in the newest view.
