--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -39,6 +39,8 @@
 	// excluded holds the endpoints that failed or rejected the request.
 	excluded []wire.EndpointId
 	source   *Source
+	// sourceLost is set if a KV cache was given up because the endpoint that holds it asked for a pause.
+	sourceLost bool
 	// queuedTokens and newTokens are logged with the decisions on the endpoint chosen last: the tokens that were queued for
 	// prefill there, and those that this request added.
 	queuedTokens, newTokens int
@@ -213,6 +215,9 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	if d := j.firstReturn(); d > 0 {
+		return d + time.Duration(rand.Float64()*float64(min(max(d/2, minReturnSpread), maxReturnSpread)))
+	}
 	return refusalRetryAfter
 }
 
@@ -225,7 +230,8 @@
 // freeSource frees a prefilled KV cache that no decode engine has fetched.
 func (j *job) freeSource() {
 	if j.source != nil {
-		j.relay.sender.Free(j.source)
+		r, e, id := j.relay, j.source.Endpoint, j.request.ID
+		r.sender.Free(j.source, func(a *Answer) { r.note(e, a, sourceFree, id) })
 		j.source = nil
 	}
 }
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -48,6 +48,9 @@
 	Source *Source
 	// LastEvent is the id of the event after which the stream is resumed, or empty for a stream from its start.
 	LastEvent string
+
+	// probe is set by Permit if the attempt is the first after a pause that the endpoint asked for.
+	probe roster.Probe
 }
 
 // Source is a prefilled KV cache that an endpoint holds for another.
@@ -65,7 +68,13 @@
 	NotRun bool
 	// Misdirected is set if another incarnation now has the endpoint's address; it did not run the request.
 	Misdirected bool
-	Body        Body
+	// Leaving is set if the endpoint stated that it leaves and wants no new requests.
+	Leaving bool
+	// RetryAfter is for how long the endpoint wants no requests from this instance, if it rejected the request and said so.
+	RetryAfter time.Duration
+	// RetryAfterErr is set if it said so in a form that has no meaning or one that was bounded.
+	RetryAfterErr error
+	Body          Body
 }
 
 // Success reports whether the status is 2xx.
@@ -96,12 +105,14 @@
 // Sender sends requests to endpoints.
 type Sender interface {
 	// Send sends an attempt and returns the answer once its head is received. A NeverSentError means that the endpoint cannot
-	// have run the request; after any other error it may have.
+	// have run the request, nor can it after the WithdrawnError of Attempt.Permit, which Send calls right before the first byte; after any
+	// other error it may have.
 	Send(ctx context.Context, e *roster.Endpoint, a *Attempt) (*Answer, error)
 	// Prefilled returns the handle of the KV cache from the answer to a prefill.
 	Prefilled(a *Answer) (handle string, err error)
-	// Free makes an endpoint drop a KV cache that no other endpoint will fetch.
-	Free(s *Source)
+	// Free makes an endpoint drop a KV cache that no other endpoint will fetch. The function is called, possibly later, with the head of
+	// the endpoint's answer if there is one.
+	Free(s *Source, answered func(a *Answer))
 }
 
 // NeverSentError is the error of an attempt of which no byte was sent, such as a failed dial.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -61,12 +61,12 @@
 	w := newWatchdog(ctx, j.relay.clock, j.responseTimeout(e), j.mayMove(e))
 	defer w.close()
 	j.beginExchange(e)
-	a, err := j.relay.sender.Send(w.ctx, e, j.newAttempt())
+	attempt := j.newAttempt()
+	a, err := j.relay.sender.Send(w.ctx, e, attempt)
 	w.pause()
 	err = w.explain(err)
-	var neverSent *NeverSentError
-	if errors.As(err, &neverSent) {
-		j.recordFailure(ctx, e, err)
+	j.relay.noteSent(e, attempt, a, sourceRequest)
+	if j.recordUnsent(ctx, e, err) {
 		return false
 	}
 	j.sent++
