Give up a silent endpoint only for a send that is paid for

Callers saw a request read whole that got neither an answer nor a refusal, beside a change of the configuration: a stream of a sound endpoint that was silent for about a second was given up before its first event, then passed on from what had been received already, and aborted, as the budget was spent. Others were refused although their endpoint was about to answer.

Cause: the time limit for the first event and for the head of an answer still cancelled the send without a condition. An endpoint is silent for all of its requests at once, so that they spend the budget within milliseconds, and asking whether it allows a send is not enough. Each time limit of a run now cancels only with another endpoint open and the send there taken from the budget; only prefills, which run nothing, are given up as before.

TestSilentRequestIsKeptBeforeItsAnswer fails without the change ('refused ... the retry budget is spent'), and passes with it.

--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -50,6 +50,8 @@
 	fallsSilent
 	// stopsWhenCancelled runs the request and sends its events without a pause until the sender cancels.
 	stopsWhenCancelled
+	// answersLate runs the request, is silent for silence, and answers.
+	answersLate
 	// beginsWithComment runs the request, sends a comment, nothing for silence, and then all events.
 	beginsWithComment
 )
@@ -109,6 +111,13 @@
 	case hangs:
 		<-ctx.Done()
 		return nil, net.ErrClosed
+	case answersLate:
+		f.onSilence()
+		select {
+		case <-ctx.Done():
+			return nil, net.ErrClosed
+		case <-time.After(silence):
+		}
 	case losesAnswer:
 		return nil, errors.New("reset")
 	case fails:
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -54,6 +54,24 @@
 	h.expectWholeStream(t, "Waited")
 }
 
+// TestSilentRequestIsKeptBeforeItsAnswer guards against requests that are given up although they cannot be sent elsewhere: a sound endpoint
+// is silent before its answer, and the retry budget is spent by then.
+func TestSilentRequestIsKeptBeforeItsAnswer(t *testing.T) {
+	for _, path := range []string{"/again/", "/resume/"} {
+		h := newHarness(func(a *relay.Attempt) behaviour {
+			if a.PrefillOnly {
+				return succeeds
+			}
+			return answersLate
+		})
+		h.sender.onSilence = func() { h.relay.SetBudget(0, 0) }
+		c := h.request(t, path)
+		if c.refusal != nil || c.aborted || h.sender.runs != 1 {
+			t.Errorf("%s: refused %v, aborted %v, after %d runs", path, c.refusal, c.aborted, h.sender.runs)
+		}
+	}
+}
+
 // slowCaller takes the first event only after silence.
 type slowCaller struct {
 	fakeCaller
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -144,14 +144,11 @@
 	return limit
 }
 
-// mayMove returns a function that reports whether a stream of which the caller has the head may be taken from endpoint e, which has been
-// silent for too long: another endpoint has to be open, and the send there is taken from the retry budget at once. Otherwise the stream
-// would be lost although e may go on with it. The function must not be called once the request has left e. It is nil for other requests:
-// they end with a refusal, after which their callers may send them again.
+// mayMove returns a function that reports whether a request may be taken from endpoint e, which has been silent for too long: another
+// endpoint has to be open, and the send there is taken from the retry budget at once. Otherwise the request would be lost although e may go
+// on with it. An endpoint is silent for all of its requests at the same time, so asking whether the budget allows a send is not enough. The
+// function must not be called once the request has left e.
 func (j *job) mayMove(e *roster.Endpoint) func() bool {
-	if !j.streaming {
-		return nil
-	}
 	return func() bool {
 		if len(j.endpoints(j.needElsewhere(e))) == 0 {
 			j.observeWait(e, "the endpoint is silent, and no other endpoint is open")
