--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,11 @@
 
 // String names the stage for logs.
 func (s Stage) String() string {
-	return [...]string{"None", "Prefill", "Decode"}[s]
+	names := [...]string{"None", "Prefill", "Decode"}
+	if s < 0 || int(s) >= len(names) {
+		return fmt.Sprintf("Stage(%d)", int(s))
+	}
+	return names[s]
 }
 
 // Key identifies one incarnation of an endpoint.
