Log each unusable row once

Every read of the table of endpoints wrote two lines for each row that another writer had left there, EndpointRejected and EndpointUnlisted, though nothing had changed; a configuration that could not be decoded, and the findings of one that could, were logged at each read too. During an outage, when tables are read again and again, the lines could crowd out others.

Cause: the lines were written where a row is decoded, without regard to what was known of it.

What else the test checks held before: with 50 odd rows in the table no process ended, no sound row was lost, and the follower went on. TestOddConfigurationKeepsTheOneInForce failed before for the number of lines only: an odd configuration never took the one in force away.

--- a/router/table_followers.go
+++ b/router/table_followers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"time"
 
 	"cowslipshunt.example/platform"
@@ -67,12 +68,13 @@
 // have no changes, as a configuration does not fit into a datagram.
 func newConfigurationFollower(store *platform.Store, r *relay.Relay, liveInstances func() int, other replicas, logger *log.Logger) *follower {
 	f := newFollower(store, platform.OperatorTable, 0, liveInstances, other, logger)
+	rejected := newRejectedRows(logger, platform.OperatorTable, "ConfigurationRejected")
 	f.apply = func(rows []platform.Row, _ bool) []replication.Change {
 		var changes []replication.Change
 		for _, row := range rows {
 			changes = append(changes, replication.Change{Version: replication.Version(row.Version)})
 			if row.Key == platform.ConfigurationKey && !row.Deleted {
-				applyConfiguration(row, r, logger)
+				applyConfiguration(row, r, rejected, logger)
 			}
 		}
 		return changes
@@ -80,16 +82,19 @@
 	return f
 }
 
-func applyConfiguration(row platform.Row, r *relay.Relay, logger *log.Logger) {
+func applyConfiguration(row platform.Row, r *relay.Relay, rejected *rejectedRows, logger *log.Logger) {
 	table, findings, err := platform.DecodeConfiguration(row.Value)
-	if err != nil {
-		logger.Error().Int("RowVersion", row.Version).Err(err).Msg("ConfigurationRejected")
+	if err = cmp.Or(row.Err, err); err != nil {
+		rejected.add(row.Key, row.Version, err)
 		return
 	}
-	for _, f := range findings {
-		logger.Warn().Str("Finding", f.String()).Msg("ConfigurationFinding")
-	}
+	rejected.remove(row.Key)
 	applied := r.SetTable(table)
+	if applied {
+		for _, f := range findings {
+			logger.Warn().Str("Finding", f.String()).Msg("ConfigurationFinding")
+		}
+	}
 	logger.Info().Int64("Version", int64(table.Version)).Int("RowVersion", row.Version).Int("Routes", table.Routes()).
 		Bool("Taken", applied).Msg("Configuration")
 }
@@ -97,14 +102,16 @@
 // newEndpointFollower returns a follower that keeps the directory up to date with the platform's replica table.
 func newEndpointFollower(store *platform.Store, d *roster.Directory, liveInstances func() int, other replicas, logger *log.Logger) *follower {
 	f := newFollower(store, platform.ReplicaTable, maxUpdateChanges, liveInstances, other, logger)
+	rejected := newRejectedRows(logger, platform.ReplicaTable, "EndpointRejected")
 	f.apply = func(rows []platform.Row, full bool) []replication.Change {
 		changes := make([]replication.Change, 0, len(rows))
 		for _, row := range rows {
-			changes = append(changes, decodeEndpoint(row, logger))
+			changes = append(changes, decodeEndpoint(row, rejected))
 		}
 		applyEndpoints(changes, d, logger)
 		if full {
 			retainEndpoints(changes, d, logger)
+			rejected.retain(keysOf(rows))
 		}
 		return changes
 	}
@@ -139,19 +146,30 @@
 }
 
 // decodeEndpoint decodes one row of the replica table. A row that lists no usable endpoint counts as deleted.
-func decodeEndpoint(row platform.Row, logger *log.Logger) replication.Change {
+func decodeEndpoint(row platform.Row, rejected *rejectedRows) replication.Change {
 	version, id := replication.Version(row.Version), wire.EndpointId(row.Key)
 	if row.Deleted {
+		rejected.remove(row.Key)
 		return replication.NewChange(version, id, nil)
 	}
 	entry, err := platform.DecodeReplica(row)
 	if err != nil {
-		logger.Warn().Int("RowVersion", row.Version).Err(err).Msg("EndpointRejected")
+		rejected.add(row.Key, row.Version, err)
 		return replication.NewChange(version, id, nil)
 	}
+	rejected.remove(row.Key)
 	return replication.NewChange(version, id, &entry)
 }
 
+// keysOf returns the keys of rows.
+func keysOf(rows []platform.Row) map[string]bool {
+	keys := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		keys[r.Key] = true
+	}
+	return keys
+}
+
 // applyEndpoints applies changes to the directory in one view.
 func applyEndpoints(changes []replication.Change, d *roster.Directory, logger *log.Logger) {
 	d.Batch(func() {
@@ -164,6 +182,9 @@
 func applyEndpoint(c replication.Change, d *roster.Directory, logger *log.Logger) {
 	entry := c.Entry()
 	if entry == nil {
+		if !d.Known(c.ID) {
+			return
+		}
 		removed := d.Remove(c.ID, time.Now())
 		logger.Info().Str("Endpoint", string(c.ID)).Int("RowVersion", int(c.Version)).Bool("Gone", removed).Msg("EndpointUnlisted")
 		return
--- a/serving/roster/directory.go
+++ b/serving/roster/directory.go
@@ -100,6 +100,14 @@
 	return true
 }
 
+// Known reports whether an endpoint is listed or lapsed.
+func (d *Directory) Known(id wire.EndpointId) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, known := d.endpoints[id]
+	return known
+}
+
 // Remove removes an endpoint and reports whether it did so at once. During a store outage and the grace period after it, an
 // endpoint that is not leaving is only marked as lapsed, and DropLapsed removes it later.
 func (d *Directory) Remove(id wire.EndpointId, now time.Time) bool {
