Notice lag after a wrong claim of a peer

One malformed report that claimed a version which the store does not have switched off, for the rest of the process, the check by which an instance notices that it is behind its peers: to ignore the claim, the instance counted as having applied all versions up to it. A feed that then fell silent was noticed only by its own timeout.

Cause: the ignored claim and the applied version were one number. Now claims from the wrong one up are ignored until the instance has reached it, and lower ones count as before, so the malformed report that comes again still reads no table.

Evidence, TestLagIsNoticedAfterWrongClaim on the code before:

lag_test.go:110: onBehind was not called for version 12

green now; TestWrongClaimIsIgnored stays as it was.

--- a/serving/replication/lag.go
+++ b/serving/replication/lag.go
@@ -25,6 +25,8 @@
 	synced, changed Version
 	// claimed is the highest version that a peer claims to have applied.
 	claimed Version
+	// wrong is the version from which claims are ignored, as the store had not reached it when a peer claimed it; 0 if there is none.
+	wrong Version
 	// timer runs while this instance is behind.
 	timer clockwork.Timer
 }
@@ -42,14 +44,25 @@
 	defer l.mu.Unlock()
 	l.synced = max(l.synced, synced)
 	l.changed = max(l.changed, changed)
+	if l.synced >= l.wrong {
+		l.wrong = 0
+	}
 	l.stopIfCaughtUp()
 }
 
 // Reread records that this instance has read the whole table at a version, after peers had claimed to have applied the version claimed.
-// The store's answers are linearizable, so a claim of a higher version is wrong: it is ignored from now on, and Reread returns false.
+// The store's answers are linearizable, so a claim of a higher version is wrong, and Reread returns false. Claims of that version and
+// higher ones are ignored until this instance has reached it; lower ones still count.
 func (l *Lag) Reread(version, changed, claimed Version) bool {
-	l.Applied(max(version, claimed), changed)
-	return claimed <= version
+	if claimed <= version {
+		l.Applied(version, changed)
+		return true
+	}
+	l.mu.Lock()
+	l.wrong, l.claimed = claimed, 0
+	l.mu.Unlock()
+	l.Applied(version, changed)
+	return false
 }
 
 // Claimed returns the highest version that a peer claims to have applied.
@@ -70,6 +83,9 @@
 func (l *Lag) PeerApplied(changed Version) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.wrong > 0 && changed >= l.wrong {
+		return
+	}
 	l.claimed = max(l.claimed, changed)
 	if l.claimed > l.synced && l.timer == nil {
 		l.timer = l.clock.AfterFunc(l.tolerance(), l.check)
--- a/serving/replication/lag_test.go
+++ b/serving/replication/lag_test.go
@@ -94,3 +94,20 @@
 	f.lag.PeerApplied(1 << 60)
 	f.expectIdle()
 }
+
+// TestLagIsNoticedAfterWrongClaim guards against an instance that no longer notices that it is behind its peers, once a malformed report
+// has claimed a version that the store does not have.
+func TestLagIsNoticedAfterWrongClaim(t *testing.T) {
+	f := newFixture(t)
+	f.lag.Reread(10, 8, f.lag.Claimed())
+	f.lag.PeerApplied(1 << 60)
+	f.clock.Advance(tolerance)
+	f.expectBehind(1 << 60)
+	f.lag.Reread(11, 11, f.lag.Claimed())
+	f.lag.PeerApplied(1 << 60)
+	f.lag.PeerApplied(12)
+	f.clock.Advance(tolerance)
+	f.expectBehind(12)
+	f.lag.Applied(12, 12)
+	f.expectIdle()
+}
