Ignore updates that no reader sends

A malformed update of a table made a receiver list endpoints with port 0, negative slots or no service, and set its copy to versions that contradict each other. One with an unknown stage made applying it panic each time, yet counted as proof that the copy was up to date: the receiver did not ask the store while such updates came, and missed all changes (DRAIN, CONFIG).

Cause: an update was applied as it came, and vouched for the copy before it was applied. Now it is checked first (versions in order, each listing usable, by the check that rows pass too); one that fails is counted, logged at most once in 10 s, and vouches for nothing. If applying one panics all the same, the copy counts as out of date and the store is asked.

FuzzDatagram now plays a receiver and has these updates and 16 KB of nested arrays as seeds; cbor refuses to nest beyond 32 levels, so nesting could not end the process before either.

--- a/router/follower_updates.go
+++ b/router/follower_updates.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"cowslipshunt.example/serving/replication"
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
 	// readerBatchDelay bounds the delay of a reader's next feed call after one with changes. It is short because there are few readers.
 	readerBatchDelay = 250 * time.Millisecond
+	// rejectedUpdateInterval is the shortest interval between log lines about rejected updates of a table.
+	rejectedUpdateInterval = 10 * time.Second
 	// maxUpdateChanges bounds the changes in an update, so that it fits into a datagram.
 	maxUpdateChanges = 12
 )
@@ -76,7 +79,7 @@
 	return left
 }
 
-// receive applies an update of a reader.
+// receive applies an update of a reader. An update that cannot be applied vouches for nothing.
 func (f *follower) receive(u *replication.Update) {
 	if f.replicas.role() != replication.Receiver {
 		return
@@ -87,17 +90,43 @@
 	if own == 0 {
 		return
 	}
+	if err := u.Check(); err != nil {
+		f.rejectUpdate(err)
+		return
+	}
 	switch f.inbox.Receive(u, own) {
 	case replication.Gap:
 		f.wakeUp()
 	case replication.Applicable:
-		newer := slices.DeleteFunc(slices.Clone(u.Changes), func(c replication.Change) bool { return c.Version <= own })
-		if len(newer) > 0 {
-			f.applyChanges(newer)
-			f.lag.Applied(u.Version, newer[len(newer)-1].Version)
+		f.applyUpdate(u, own)
+	}
+}
+
+// applyUpdate applies the changes of an update that are newer than the copy. If that panics, the copy counts as out of date.
+func (f *follower) applyUpdate(u *replication.Update, own replication.Version) {
+	applied := false
+	defer func() {
+		if !applied {
+			f.inbox.Invalidate()
+			f.wakeUp()
 		}
-		f.lag.Applied(u.Version, 0)
-		f.version = int(u.Version)
-		f.log.Reset(u.Version)
+	}()
+	newer := slices.DeleteFunc(slices.Clone(u.Changes), func(c replication.Change) bool { return c.Version <= own })
+	if len(newer) > 0 {
+		f.applyChanges(newer)
+		f.lag.Applied(u.Version, newer[len(newer)-1].Version)
+	}
+	f.lag.Applied(u.Version, 0)
+	f.version = int(u.Version)
+	f.log.Reset(u.Version)
+	applied = true
+}
+
+// rejectUpdate counts an update that no reader may have sent, and logs it unless another was logged shortly before.
+func (f *follower) rejectUpdate(err error) {
+	metrics.GetOrCreateCounter(`router_updates_rejected_total{table="` + f.table + `"}`).Inc()
+	if now := time.Now(); now.Sub(f.updateRejected) >= rejectedUpdateInterval {
+		f.updateRejected = now
+		f.logger.Warn().Str("Table", f.table).Int("Version", f.version).Err(err).Msg("UpdateRejected")
 	}
 }
--- a/router/odd_rows_test.go
+++ b/router/odd_rows_test.go
@@ -53,7 +53,7 @@
 	if n := len(d.View().All()); n != 2 {
 		t.Errorf("%d endpoints are listed, want 2", n)
 	}
-	waitFor(t, "the lines about all rows", func() bool { return strings.Count(output.String(), `"message":"EndpointRejected"`) >= len(odd)+reads })
+	waitFor(t, "the lines about all rows", func() bool { return countLines(output, "EndpointRejected") >= len(odd)+reads })
 	for name := range odd {
 		lines := 0
 		for line := range strings.SplitSeq(output.String(), "\n") {
@@ -65,7 +65,7 @@
 			t.Errorf("%s: %d lines, want 1", name, lines)
 		}
 	}
-	if strings.Contains(output.String(), `"message":"Panicked"`) {
+	if countLines(output, "Panicked") > 0 {
 		t.Errorf("the follower panicked: %.2000s", output.String())
 	}
 }
@@ -97,7 +97,7 @@
 	}
 	store.Put(platform.OperatorTable, platform.ConfigurationKey, platformtest.Configuration(3, "k"))
 	waitFor(t, "the next configuration", func() bool { return r.Table().Version == 3 })
-	if n := strings.Count(output.String(), `"message":"ConfigurationRejected"`); n != len(odd) {
+	if n := countLines(output, "ConfigurationRejected"); n != len(odd) {
 		t.Errorf("%d lines about %d odd configurations", n, len(odd))
 	}
 }
@@ -110,6 +110,11 @@
 	waitFor(t, "a follower that has read the table", func() bool { _, synced := f.position(); return synced })
 }
 
+// countLines counts the lines of a log with a message.
+func countLines(output *logBuffer, message string) int {
+	return strings.Count(output.String(), `"message":"`+message+`"`)
+}
+
 // jsonString returns a text as a JSON string.
 func jsonString(s string) string {
 	data, err := json.Marshal(s)
--- a/router/panics_test.go
+++ b/router/panics_test.go
@@ -1,16 +1,21 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"cowslipshunt.example/platform/platformtest"
 	"cowslipshunt.example/serving/relay"
+	"cowslipshunt.example/serving/replication"
+	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/route"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // panickingRelay panics for each request, after the head of a stream if begins is set.
@@ -81,11 +86,32 @@
 	}
 }
 
-// FuzzDatagram passes malformed datagrams to an instance, which has to ignore what it cannot read.
+// FuzzDatagram passes malformed datagrams to a receiver, which has to ignore what it cannot read and what lists no usable endpoint.
 func FuzzDatagram(f *testing.F) {
 	p := newTestPeers(f)
+	d := roster.NewDirectory()
+	receiver := replicas{role: func() replication.Role { return replication.Receiver }, maxSilence: time.Minute}
+	x := newFollowers(nil, nil, d, func() int { return 80 }, receiver, p.logger)
+	x.endpoints.version, x.configuration.version = 5, 5
+	p.setFollowers(x)
 	for _, seed := range datagramSeeds(f) {
 		f.Add(seed)
 	}
-	f.Fuzz(func(_ *testing.T, data []byte) { p.receive(data) })
+	for _, u := range malformedUpdates(5) {
+		u.Table = x.endpoints.table
+		seed, err := cbor.Marshal(message{Update: &u})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(seed)
+	}
+	f.Add(bytes.Repeat([]byte{0x81}, maxHandoffBytes))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p.receive(data)
+		for id, e := range d.View().All() {
+			if err := e.Entry().Check(); err != nil {
+				t.Fatalf("endpoint %q is listed: %v", id, err)
+			}
+		}
+	})
 }
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/tabletest"
@@ -75,6 +77,8 @@
 			Changes: []peerload.StageChange{{Endpoint: "i-1", To: roster.Prefill}}, Paused: []wire.EndpointId{"i-1"}}},
 		{Handoff: &metering.Handoff{Instance: "peer", Incarnation: "2", Window: 1, Counts: metering.Counts{"w": 1}, Made: 1}},
 		{Applied: &appliedVersions{Configuration: 3, Endpoints: 4}},
+		{Update: &replication.Update{Table: platform.ReplicaTable, After: 5, Version: 6, Newest: 6, Changes: []replication.Change{
+			{Version: 6, ID: "i-2", Listing: &replication.Listing{Service: "s", Address: "10.0.0.1:80", Domain: "a", Slots: 1}}}}},
 	}
 	var seeds [][]byte
 	for _, m := range messages {
--- a/serving/replication/update.go
+++ b/serving/replication/update.go
@@ -1,6 +1,8 @@
 package replication
 
 import (
+	"fmt"
+
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/wire"
 )
@@ -17,6 +19,25 @@
 	Changes []Change
 }
 
+// Check returns an error unless a reader may have sent the update: its versions have to be in order, and its listings usable.
+func (u *Update) Check() error {
+	if u.After < 0 || u.Version < u.After || u.Newest < u.Version {
+		return fmt.Errorf("the update from version %d to %d of %d is not in order", u.After, u.Version, u.Newest)
+	}
+	for i := range u.Changes {
+		c := &u.Changes[i]
+		if c.Version <= u.After || c.Version > u.Version {
+			return fmt.Errorf("the change of version %d is not between %d and %d", c.Version, u.After, u.Version)
+		}
+		if entry := c.Entry(); entry != nil {
+			if err := entry.Check(); err != nil {
+				return fmt.Errorf("endpoint %.64q: %w", c.ID, err)
+			}
+		}
+	}
+	return nil
+}
+
 // Change is the change of the listing of one endpoint.
 type Change struct {
 	_       struct{} `cbor:",toarray"`
