Read a table again whose version the store does not have

One update with a version above the store's stopped a receiver's feed until its process ended: the copy took that version, all further updates and answers of the store counted as old, and each update of the true reader vouched for the copy.

Cause: an update of a reader that is behind the copy counted as proof that the copy is up to date, and a copy's version never went back, whoever had set it. Now such an update proves nothing, so the receiver asks the store within the time for which updates vouch. The store's answers are linearizable: if one to a call made after the update has a lower version, the store never had that of the copy, and the table read then replaces the copy. A version that the store itself has answered still never goes back. The instance also stops reporting the wrong version to its peers.

Evidence, TestUpdateAboveTheStoresVersionStopsNoFeed on the code before:

timed out waiting for the new endpoint and configuration

green now, within the bound for changes, and with no further calls afterwards. A peer that sends such updates all the time is not dealt with.

--- a/router/follower.go
+++ b/router/follower.go
@@ -54,6 +54,8 @@
 	cancelFeed context.CancelCauseFunc
 	// version is the store's version up to which changes were applied, 0 before the table was read.
 	version int
+	// answered is the highest version of an answer of the store. That of the copy may be above it, from an update.
+	answered int
 	// updateRejected is when a rejected update was logged last.
 	updateRejected time.Time
 	// synced is set while the feed can continue from version. Otherwise the next step reads the whole table.
--- a/router/follower_store.go
+++ b/router/follower_store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 
 	"cowslipshunt.example/platform"
@@ -12,7 +13,8 @@
 
 // step makes one call to the store: it waits for changes after the last version, or reads the whole table if f is not synced.
 func (f *follower) step(ctx context.Context) error {
-	if version, synced := f.position(); synced {
+	version, synced := f.position()
+	if synced {
 		return f.followFeed(ctx, version)
 	}
 	claimed := f.lag.Claimed()
@@ -22,7 +24,7 @@
 	}
 	f.noteSuccess()
 	f.gotChanges = false
-	unchanged := f.applyAll(all)
+	unchanged := f.applyAll(all, version)
 	if f.replicas.role() == replication.Reader {
 		f.replicas.send([]replication.Update{unchanged})
 	}
@@ -32,11 +34,15 @@
 	return nil
 }
 
-// applyAll applies the whole table, unless an update has brought the copy to a newer version in the meantime. It returns the update with
-// which a reader shows that the store answers.
-func (f *follower) applyAll(all platform.Rows) replication.Update {
+// applyAll applies the whole table, unless an update has brought the copy to a newer version since before the table was read. It returns
+// the update with which a reader shows that the store answers.
+func (f *follower) applyAll(all platform.Rows, before int) replication.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if before > all.Version && f.answered <= all.Version {
+		f.dropVersion(all)
+	}
+	f.answered = max(f.answered, all.Version)
 	f.synced = true
 	f.inbox.Vouch()
 	if all.Version >= f.version {
@@ -47,6 +53,13 @@
 	return f.log.Unchanged()
 }
 
+// dropVersion drops the copy's version, which an update has set: the store's answers are linearizable, so it never had that version.
+func (f *follower) dropVersion(all platform.Rows) {
+	f.logger.Warn().Str("Table", f.table).Int("Version", all.Version).Int("Copy", f.version).Msg("UpdateVersionIgnored")
+	f.lag.Withdraw(replication.Version(all.Version), lastChange(all.Rows))
+	f.version = 0
+}
+
 // followFeed waits for changes after a version. It returns a *feedInterruptedError if interrupt is called meanwhile.
 func (f *follower) followFeed(ctx context.Context, after int) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -62,6 +75,9 @@
 	if err != nil {
 		return cmp.Or(interruption(ctx), err)
 	}
+	if answer.Version < after && f.isUnconfirmed(after) {
+		return &versionError{Table: f.table, Copy: after, Store: answer.Version}
+	}
 	f.noteSuccess()
 	updates := f.applyFeed(answer)
 	f.gotChanges = len(answer.Rows) > 0
@@ -79,6 +95,7 @@
 	newer := slices.DeleteFunc(answer.Rows, func(r platform.Row) bool { return r.Version <= f.version })
 	changes := f.apply(newer, false)
 	f.version = max(f.version, answer.Version)
+	f.answered = max(f.answered, answer.Version)
 	f.inbox.Vouch()
 	f.log.Append(replication.Version(f.version), changes)
 	if len(changes) == 0 {
@@ -87,6 +104,24 @@
 	return f.log.Latest()
 }
 
+// isUnconfirmed reports whether only updates, and no answer of the store, have had a version.
+func (f *follower) isUnconfirmed(version int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return version > f.answered
+}
+
+// versionError reports that the store has not reached the version of a copy.
+type versionError struct {
+	Table       string
+	Copy, Store int
+}
+
+// Error names the table and the versions.
+func (e *versionError) Error() string {
+	return fmt.Sprintf("the copy of table %s has version %d, the store only %d", e.Table, e.Copy, e.Store)
+}
+
 // feedInterruptedError is the error of a feed call that was ended before the store answered.
 type feedInterruptedError struct {
 	Reason string
--- a/router/follower_updates.go
+++ b/router/follower_updates.go
@@ -94,6 +94,10 @@
 		f.rejectUpdate(err)
 		return
 	}
+	if own > u.Newest {
+		// If no other update vouches for the copy, its version may be wrong, and the feed could not continue from it.
+		f.synced = false
+	}
 	switch f.inbox.Receive(u, own) {
 	case replication.Gap:
 		f.wakeUp()
--- a/router/odd_updates_test.go
+++ b/router/odd_updates_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/platform"
+	"cowslipshunt.example/platform/platformtest"
 	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
 )
@@ -11,6 +13,30 @@
 // tooHigh is a version that no store reaches in a test.
 const tooHigh replication.Version = 1 << 60
 
+// TestUpdateAboveTheStoresVersionStopsNoFeed guards against a receiver that ignores all further changes after an update with a version that
+// the store does not have, until its process ends.
+func TestUpdateAboveTheStoresVersionStopsNoFeed(t *testing.T) {
+	x := newReplicaPair(t)
+	x.start()
+	own := replication.Version(x.store.Version())
+	for _, f := range []*follower{x.receiver.endpoints, x.receiver.configuration} {
+		f.receive(&replication.Update{Table: f.table, After: own, Version: tooHigh, Newest: tooHigh})
+	}
+	x.store.Put(platform.ReplicaTable, "i-1", platformtest.Entry("10.0.0.1:80", "ready"))
+	x.store.Put(platform.OperatorTable, platform.ConfigurationKey, platformtest.Configuration(2, "k"))
+	x.withinBound("the new endpoint and configuration", func() bool { return x.listed(2)() && x.configured(2)() })
+	if v := x.receiver.endpoints.lag.Changed(); v >= tooHigh {
+		t.Errorf("the receiver reports version %d to its peers", v)
+	}
+	x.settle()
+	answers := x.answers.Load()
+	x.store.Delete(platform.ReplicaTable, "i-1")
+	x.withinBound("the list without the endpoint", x.listed(1))
+	if n := x.answers.Load() - answers; n > 0 {
+		t.Errorf("the receiver made %d calls to the store, want to rely on the reader again", n)
+	}
+}
+
 // malformedUpdates are updates that no reader sends, of a copy at version own.
 func malformedUpdates(own replication.Version) map[string]replication.Update {
 	next := own + 1
--- a/serving/replication/inbox.go
+++ b/serving/replication/inbox.go
@@ -32,13 +32,14 @@
 	return &Inbox{now: now, maxSilence: maxSilence}
 }
 
-// Receive judges an update for an instance whose copy has a version.
+// Receive judges an update for an instance whose copy has a version. An update of a reader that is behind the copy vouches for nothing: the
+// update is old, or the copy's version is wrong.
 func (b *Inbox) Receive(u *Update, own Version) Result {
 	if u.After > own {
 		b.fresh = false
 		return Gap
 	}
-	if max(own, u.Version) >= u.Newest {
+	if own <= u.Newest && max(own, u.Version) >= u.Newest {
 		b.Vouch()
 	}
 	if u.Version <= own {
--- a/serving/replication/lag.go
+++ b/serving/replication/lag.go
@@ -65,6 +65,13 @@
 	return false
 }
 
+// Withdraw records that the versions that were recorded as applied are wrong, and that the copy is at the given ones.
+func (l *Lag) Withdraw(synced, changed Version) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.synced, l.changed = synced, changed
+}
+
 // Claimed returns the highest version that a peer claims to have applied.
 func (l *Lag) Claimed() Version {
 	l.mu.Lock()
