Send a request at most once on one connection

A prompt that was prefilled at an endpoint may be prefilled there again under the same id, after the decode engine has failed, and a client may use an id twice. A response to the earlier send that arrives once more has that id and would be taken as one to the later send, a rejection included.

Cause: the id says to which request a response belongs, not to which send.

What was ruled out: refusing the endpoint for the second send, which would lose its cached parts.

--- a/shared/link/conn.go
+++ b/shared/link/conn.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,6 +22,8 @@
 	maxHeadBytes = 32 << 10
 	// maxInterimResponses is how many interim responses (1xx) may precede a response.
 	maxInterimResponses = 8
+	// maxCarried is how many exchanges a connection remembers.
+	maxCarried = 16
 	// minStatus is the lowest status code of a response that is not interim.
 	minStatus = 200
 )
@@ -33,6 +36,8 @@
 	r     *bufio.Reader
 	// Reused reports whether the connection carried another exchange before.
 	Reused bool
+	// carried are the names of the last exchanges, oldest first.
+	carried []string
 	// idleUntil is the time from which the connection is no longer reused, as the endpoint may close it.
 	idleUntil time.Time
 	// written is set once the whole request has been written.
@@ -68,6 +73,19 @@
 	}()
 }
 
+// Carry records the name of the exchange that follows. It returns false if the connection has carried one of that name before: a response
+// with the name might then belong to the earlier one.
+func (c *Conn) Carry(name string) bool {
+	if slices.Contains(c.carried, name) {
+		return false
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, name)
+	return true
+}
+
 // ReadResponse reads the head of the next response on the connection and skips interim responses before it. The error is a
 // *HeadTooLongError if the heads exceed maxHeadBytes. The body of the response has no bound.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
