Try another endpoint after an answer that resumes no stream

A stream that had broken off was aborted at once if the next endpoint answered its resumption with an error, though attempts, time and budget for another were left.

Cause: an error was an end and not a failed attempt, and any success of a route with streams was read as a stream. Now an answer other than a stream of events counts as a failed attempt once the client has the head of its stream: nothing of it is passed on, the line Retried says so, and the request goes on as after a broken stream. Only if nothing is left is it aborted.

The text or head of an error answer was never in a stream before either, nor did a stream that met one end as complete. A first answer of another type is passed on as before.

--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -116,7 +116,7 @@
 		}
 		first = last + 1
 	}
-	return &relay.Answer{Status: 200, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, ctx: ctx}}, nil
+	return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, ctx: ctx}}, nil
 }
 
 func (f *fakeSender) Prefilled(a *relay.Answer) (string, error) {
--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -65,6 +65,8 @@
 	NotRun bool
 	// Misdirected is set if another incarnation now has the endpoint's address; it did not run the request.
 	Misdirected bool
+	// EventStream is set if the endpoint says that the body is a stream of events.
+	EventStream bool
 	Body        Body
 }
 
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -84,7 +84,7 @@
 	j.possibleRuns++
 	j.source = nil
 	j.recordCachedParts(e)
-	if j.route.Kind == route.Stream && a.Success() {
+	if j.route.Kind == route.Stream && a.Success() && (a.EventStream || !j.streaming) {
 		return j.forwardStream(ctx, w, e, a)
 	}
 	w.stop()
@@ -105,16 +105,20 @@
 }
 
 // forwardAnswer passes on an answer that is not a stream and reports whether the caller's request is finished. A server error is
-// not passed on if the request can be repeated at another endpoint. If the caller has already received the head of a stream, that
-// stream is aborted.
+// not passed on if the request can be repeated at another endpoint. If the caller has already received the head of a stream, nothing is
+// passed on, and another endpoint may resume the stream.
 func (j *job) forwardAnswer(ctx context.Context, e *roster.Endpoint, a *Answer) bool {
 	j.meterOnce()
+	if j.streaming {
+		j.rejectResumption(e, a)
+		return false
+	}
 	body, err := a.Body.All()
 	if err != nil {
 		j.recordFailure(ctx, e, err)
 		return false
 	}
-	if a.Status >= 500 && !j.streaming && j.mayRun() && j.canRetryElsewhere(e) {
+	if a.Status >= 500 && j.mayRun() && j.canRetryElsewhere(e) {
 		j.exchange.end(j.relay.clock.Now(), nil)
 		j.excluded = append(j.excluded, e.Entry().ID)
 		j.observe("Retried", e, a.Status, "the endpoint answered with a server error; retrying at another endpoint", nil)
@@ -123,11 +127,6 @@
 	if a.Status < 500 {
 		j.recordSuccess(e)
 	}
-	if j.streaming {
-		j.observe("Aborted", e, a.Status, "the endpoint answered the resumption with something else than a stream", nil)
-		j.caller.Abort()
-		return true
-	}
 	if promisesNotRun(a.Status) {
 		j.observe("Withheld", e, a.Status, "clients would take the status as a promise that the request has not run", nil)
 		j.refuse(Refusal{Verdict: Unknown, Reason: "the endpoint refused the request without saying whether it ran"})
