Check the order of a stream's events

An endpoint that resumed a stream from its start, from its last event or from a later one made the client's stream repeat events or lack some, and it ended as complete.

Cause: the events of any answer were passed on as they came. Now an event whose id is not above the last one's breaks the stream off, as a cut does; in an answer that resumes a stream it has to be the very next number, unless ids of that stream have left out numbers before. What precedes the first event of such an answer is dropped. A stream whose last event had no id is not resumed, as that event would come again.

Evidence, TestResumptionThatCannotGoOnIsTriedElsewhere, extended, on the code before:

the_stream_from_its_start: got "data: 1\n\ndata: 2\n\ndata: 1\n\ndata: 2\n\ndata: 3\n\n...", ended true, aborted false a_later_event: got "data: 1\n\ndata: 2\n\ndata: 4\n\ndata: 5\n\n", ended true, aborted false a_text,_then_the_end_of_connection: got "data: 1\n\ndata: 2\n\ninternal error\n\ndata: 3\n\n...", ended true

and the tests of repeated events and of TestClientSeesEachEventOnceInOrder; green now. A client's own Last-Event-Id is not compared with the first answer, which the client can do.

--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -47,6 +47,7 @@
 	// streaming is set once the caller has the head of a stream; lastEvent is the id of the last event, if any.
 	streaming bool
 	lastEvent string
+	sequence  sequence
 }
 
 // admit finds the route and workspace of a request and returns nil, or returns why the request is refused.
@@ -143,12 +144,13 @@
 	return j.sent == 0 || j.budget.TakeRetry(j.relay.clock.Now())
 }
 
-// mayRun reports whether the request may run at an endpoint. If it may have run before, its route must allow a further run.
+// mayRun reports whether the request may run at an endpoint. If it may have run before, its route must allow a further run, and the last
+// event that was delivered must have an id.
 func (j *job) mayRun() bool {
 	if j.possibleRuns == 0 {
 		return true
 	}
-	return j.route.Repeatable() && j.possibleRuns < j.route.MaxAttempts
+	return j.route.Repeatable() && j.possibleRuns < j.route.MaxAttempts && !j.sequence.unnumbered
 }
 
 // recordFailure records that a send to an endpoint failed. It does nothing once the request's context has ended: the failure
--- a/serving/relay/resume_test.go
+++ b/serving/relay/resume_test.go
@@ -102,15 +102,22 @@
 
 // brokenAnswers are answers to the resumption of a stream after event 2 that cannot go on in it.
 var brokenAnswers = map[string]scriptedAnswer{
-	"a server error":                    {status: 500, noType: true, text: "internal error"},
-	"an error as a stream":              {status: 500, ids: list("3 4 5")},
-	"an unavailable endpoint":           {status: 503, noType: true, text: "busy"},
-	"a client error":                    {status: 400, noType: true, text: "no such event"},
-	"a rejection":                       {status: 503, noType: true, notRun: true},
-	"a success that is no stream":       {status: 200, noType: true, text: "<html>"},
-	"a success with events, of no type": {status: 200, noType: true, ids: list("3 4 5")},
-	"nothing, then the end":             {status: 200, end: io.ErrUnexpectedEOF},
-	"no answer":                         {sendErr: errors.New("reset")},
+	"a server error":                     {status: 500, noType: true, text: "internal error"},
+	"an error as a stream":               {status: 500, ids: list("3 4 5")},
+	"an unavailable endpoint":            {status: 503, noType: true, text: "busy"},
+	"a client error":                     {status: 400, noType: true, text: "no such event"},
+	"a rejection":                        {status: 503, noType: true, notRun: true},
+	"a success that is no stream":        {status: 200, noType: true, text: "<html>"},
+	"a success with events, of no type":  {status: 200, noType: true, ids: list("3 4 5")},
+	"the stream from its start":          {status: 200, ids: list("1 2 3 4 5")},
+	"the last event again":               {status: 200, ids: list("2 3 4 5")},
+	"a later event":                      {status: 200, ids: list("4 5")},
+	"an event without an id":             {status: 200, ids: []string{"", "3", "4", "5"}},
+	"an id that is no number":            {status: 200, ids: list("x 3 4 5")},
+	"a huge id":                          {status: 200, ids: list("99999999999999999999 3 4 5")},
+	"a text, then the end of connection": {status: 200, text: "internal error", end: io.ErrUnexpectedEOF},
+	"nothing, then the end":              {status: 200, end: io.ErrUnexpectedEOF},
+	"no answer":                          {sendErr: errors.New("reset")},
 }
 
 // TestResumptionThatCannotGoOnIsTriedElsewhere guards against an error, or another run's events, in the middle of a stream, and against a
@@ -137,6 +144,43 @@
 	}
 }
 
+// TestEventsOfResumedStreamAreChecked guards against events that come twice or are missing after a resumed stream has begun well.
+func TestEventsOfResumedStreamAreChecked(t *testing.T) {
+	for name, ids := range map[string]string{"an event twice": "3 3 4 5", "an event again": "3 2 4 5", "an event is missing": "3 5"} {
+		t.Run(name, func(t *testing.T) {
+			c, _, _ := serveScript(t.Context(), scriptedAnswer{status: 200, ids: list("1 2"), end: io.ErrUnexpectedEOF}, scriptedAnswer{status: 200, ids: list(ids)},
+				scriptedAnswer{status: 200, ids: list("4 5")})
+			if !c.ended || c.events != data("1 2 3 4 5") {
+				t.Errorf("got %q, ended %v", c.events, c.ended)
+			}
+		})
+	}
+}
+
+// TestRepeatedEventBreaksAnyStream guards against an event that an endpoint sends twice in its first answer.
+func TestRepeatedEventBreaksAnyStream(t *testing.T) {
+	c, _, _ := serveScript(t.Context(), scriptedAnswer{status: 200, ids: list("1 2 2 3")}, scriptedAnswer{status: 200, ids: list("3 4 5")})
+	if !c.ended || c.events != data("1 2 3 4 5") {
+		t.Errorf("got %q, ended %v", c.events, c.ended)
+	}
+}
+
+// TestStreamWhoseIDsSkipNumbersIsResumed checks that only the order is asked for where an endpoint's own ids leave out numbers.
+func TestStreamWhoseIDsSkipNumbersIsResumed(t *testing.T) {
+	c, _, _ := serveScript(t.Context(), scriptedAnswer{status: 200, ids: list("10 20"), end: io.ErrUnexpectedEOF}, scriptedAnswer{status: 200, ids: list("30 40")})
+	if !c.ended || c.events != data("10 20 30 40") {
+		t.Errorf("got %q, ended %v", c.events, c.ended)
+	}
+}
+
+// TestStreamAfterEventWithoutIDIsNotResumed guards against an event that comes twice because no id says that it was delivered.
+func TestStreamAfterEventWithoutIDIsNotResumed(t *testing.T) {
+	c, s, _ := serveScript(t.Context(), scriptedAnswer{status: 200, ids: []string{"1", ""}, end: io.ErrUnexpectedEOF}, scriptedAnswer{status: 200, ids: list("2 3")})
+	if !c.aborted || s.sends != 1 {
+		t.Errorf("got %q, aborted %v after %d sends", c.events, c.aborted, s.sends)
+	}
+}
+
 // TestClientSeesEachEventOnceInOrder lets endpoints answer at random, and checks that the client gets the first events of the stream, and
 // all of them if its stream ends as complete.
 func TestClientSeesEachEventOnceInOrder(t *testing.T) {
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -145,10 +145,12 @@
 	return len(j.endpoints(need)) > 0 && j.budget.CanRetry(j.relay.clock.Now())
 }
 
-// forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished.
+// forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished. An event that may not
+// follow the last one is not passed on; the stream then counts as broken off.
 func (j *job) forwardStream(ctx context.Context, w *watchdog, e *roster.Endpoint, a *Answer) bool {
+	events := j.newEventReader(a)
 	for {
-		event, err := a.Body.Next()
+		event, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return j.finishStream(e, a)
 		}
@@ -167,6 +169,7 @@
 			j.caller.Abort()
 			return true
 		}
+		j.sequence.record(&event)
 		if event.ID != "" {
 			j.lastEvent = event.ID
 		}
--- /dev/null
+++ b/serving/relay/sequence.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// sequence checks the order of a stream's events, whose ids are numbers that rise.
+type sequence struct {
+	// skips is set once the ids of an answer have left out numbers: a gap then does not show that an event is missing.
+	skips bool
+	// unnumbered is set while the last event that was delivered has no id: a stream cannot be resumed after it.
+	unnumbered bool
+}
+
+// errNoEventID is returned for a resumed stream that begins with an event without an id.
+var errNoEventID = errors.New("the resumed stream begins with an event without an id")
+
+// check returns an error if an event with an id may not follow the one with the id last. In an answer that resumes a stream it has to be the
+// very next.
+func (s *sequence) check(e *Event, last string, resumes bool) error {
+	if e.ID == "" || last == "" {
+		return nil
+	}
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return nil
+	}
+	id, err := strconv.ParseUint(e.ID, 10, 64)
+	if err != nil || id <= before || resumes && !s.skips && id != before+1 {
+		return fmt.Errorf("event %.32q came after event %.32q", e.ID, last)
+	}
+	s.skips = s.skips || id != before+1
+	return nil
+}
+
+// record records that an event was delivered.
+func (s *sequence) record(e *Event) {
+	if e.HasData {
+		s.unnumbered = e.ID == ""
+	}
+}
+
+// eventReader reads the events of an answer that may go on in the caller's stream.
+type eventReader struct {
+	job  *job
+	body Body
+	// resumes is set if the answer resumes a stream.
+	resumes bool
+	// placed is set once it is known that the answer begins where it should.
+	placed bool
+}
+
+func (j *job) newEventReader(a *Answer) *eventReader {
+	return &eventReader{job: j, body: a.Body, resumes: j.streaming, placed: !j.streaming}
+}
+
+// next returns the next event, as Body.Next does. An event that may not follow the last one that was delivered is an error. What precedes the
+// first event of an answer that resumes a stream is dropped, as it need not be part of that stream.
+func (r *eventReader) next() (Event, error) {
+	for {
+		event, err := r.body.Next()
+		if err != nil {
+			return Event{}, err
+		}
+		if !event.HasData {
+			if r.placed {
+				return event, nil
+			}
+			continue
+		}
+		if !r.placed && event.ID == "" {
+			return Event{}, errNoEventID
+		}
+		if err := r.job.sequence.check(&event, r.job.lastEvent, r.resumes); err != nil {
+			return Event{}, err
+		}
+		r.placed = true
+		return event, nil
+	}
+}
