Remove rows of members that never become stale

A row of another writer among those of the instances, with a time far ahead, counted as an instance for ever: it got every datagram, made the others read all rows at each refresh, and its address, if it was none, was logged at each datagram.

Cause: only rows that were too old were removed. A member whose address cannot get datagrams is left out and logged once.

Evidence, TestOddMemberRowsAreRemoved on the code before: "got [{b:1 d} {x:1 d}], <nil>", "3 rows are left, want 2"; green now. Rows that do not decode, deeply nested ones too, were removed before. The line for the address has no test.

--- a/router/members.go
+++ b/router/members.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"net/netip"
+	"slices"
 	"time"
 
 	"cowslipshunt.example/serving/membership"
@@ -16,7 +19,7 @@
 func maintainMembership(ctx context.Context, registration *membership.Registration, peers *peers, logger *log.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	m := &members{registration: registration, peers: peers, logger: logger}
+	m := &members{registration: registration, peers: peers, logger: logger, rejected: newRejectedRows(logger, membership.TableName, "MemberRejected")}
 	for {
 		select {
 		case <-ctx.Done():
@@ -42,6 +45,8 @@
 	registration *membership.Registration
 	peers        *peers
 	logger       *log.Logger
+	// rejected are the members, by address, to which nothing can be sent.
+	rejected *rejectedRows
 	// refreshes counts the refreshes.
 	refreshes int
 	// alive is the number of instances that were listed last.
@@ -68,6 +73,7 @@
 	if list == nil {
 		return err
 	}
+	list = slices.DeleteFunc(list, func(p membership.Peer) bool { return !m.hasAddress(p) })
 	m.peers.setMembers(list)
 	if alive := len(list) + 1; alive != m.alive {
 		m.logger.Info().Int("Alive", alive).Int("Before", m.alive).Msg("Members")
@@ -75,3 +81,16 @@
 	}
 	return err
 }
+
+// hasAddress reports whether datagrams can be sent to a peer. A row that another writer has left may list one without an address.
+func (m *members) hasAddress(p membership.Peer) bool {
+	addr, err := netip.ParseAddrPort(p.Address)
+	if err == nil && addr.Port() > 0 && !addr.Addr().IsUnspecified() && !addr.Addr().IsMulticast() {
+		return true
+	}
+	m.rejected.add(p.Address, 0, cmp.Or(err, errNoAddress))
+	return false
+}
+
+// errNoAddress is the fault of a member's address that parses and is not one host's.
+var errNoAddress = errors.New("is not the address of one instance")
--- a/serving/membership/members.go
+++ b/serving/membership/members.go
@@ -24,6 +24,8 @@
 	SettleTime = SecondRefreshDelay + 500*time.Millisecond
 	// staleAfter is the age at which a row no longer counts: two missed refreshes and a margin.
 	staleAfter = 35 * time.Second
+	// maxAhead is how far a row may be ahead of this instance's clock. One that is further ahead would never become stale.
+	maxAhead = 24 * time.Hour
 )
 
 // maxPruned bounds how many stale rows one refresh removes.
@@ -98,7 +100,7 @@
 			continue
 		}
 		var m member
-		if err := json.Unmarshal(row.Value, &m); err == nil && r.now().Sub(time.UnixMilli(m.Seen)) < staleAfter {
+		if err := json.Unmarshal(row.Value, &m); err == nil && r.isAlive(&m) {
 			peers = append(peers, Peer{Address: m.Address, Domain: m.Domain})
 			continue
 		}
@@ -122,6 +124,12 @@
 	return peers, nil
 }
 
+// isAlive reports whether the row of another instance was written lately.
+func (r *Registration) isAlive(m *member) bool {
+	age := r.now().Sub(time.UnixMilli(m.Seen))
+	return age < staleAfter && age > -maxAhead
+}
+
 // Leave removes the instance's row.
 func (r *Registration) Leave(ctx context.Context) error {
 	_, err := r.table.Transact(ctx, wire.TransactRequest{Writes: []wire.Write{{Table: TableName, Key: string(r.instance), Delete: true}}})
--- a/serving/membership/members_test.go
+++ b/serving/membership/members_test.go
@@ -1,6 +1,8 @@
 package membership_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,6 +52,27 @@
 	}
 }
 
+// TestOddMemberRowsAreRemoved guards against rows of another writer that count as instances for ever, or end the process.
+func TestOddMemberRowsAreRemoved(t *testing.T) {
+	table := tabletest.New()
+	nested := strings.Repeat("[", 1_000_000)
+	for i, value := range []string{"", "\xff", nested, `{"Seen":` + nested, `{"Seen":1e400}`, `{"Seen":"now"}`, `{"Seen":-9223372036854775808}`,
+		`{"Domain":["d"],"Seen":1000000000000}`, `{"Address":"x:1","Domain":"d","Seen":9223372036854775807}`} {
+		table.Commit(wire.TransactRequest{Writes: []wire.Write{{Table: membership.TableName, Key: fmt.Sprint("odd-", i), Value: []byte(value)}}})
+	}
+	clock := func() time.Time { return time.Unix(1e9, 0) }
+	if _, err := membership.NewRegistration(table, "b", "d", "b:1", clock).Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	peers, err := membership.NewRegistration(table, "a", "d", "a:1", clock).Refresh(t.Context())
+	if len(peers) != 1 || err != nil {
+		t.Errorf("got %v, %v", peers, err)
+	}
+	if rows := table.Rows(membership.TableName, ""); len(rows) != 2 {
+		t.Errorf("%d rows are left, want 2", len(rows))
+	}
+}
+
 // TestRowRefreshedMeanwhileDoesNotFailOwnRefresh refreshes a stale row of another instance between the read and the write of a refresh,
 // which would remove it. The other row has to stay, and the own row has to be written.
 func TestRowRefreshedMeanwhileDoesNotFailOwnRefresh(t *testing.T) {
