Report usage beside rows that cannot be used

One odd row among the usage counts or the windows, from another writer, stopped all usage reports: each step failed at it, whoever held the lease. A window with a number far ahead made all windows up to it count as reported, and one count below zero or near the largest int made the sum of its window wrong.

Cause: the first row that did not decode ended the step, and numbers were taken as they came. Now each row has to have the key of its window and plausible counts, and a window must have begun; others are passed over and logged once (UsageRowRejected). A window whose own row cannot be used is not frozen again, as it may have been reported: its counts are logged as UsageNotReported.

Evidence, TestOddUsageRowsStopNoReports on the code before:

window was reported with 0 requests of 15

green now, as are the rapid tests of reports under kills and lost answers.

--- a/router/duties.go
+++ b/router/duties.go
@@ -96,7 +96,7 @@
 	}
 	freezeDelay := bounds.UsageDue * freezeTenths / 10
 	reportBounds := metering.Bounds{FreezeDelay: freezeDelay, GoneTimeout: goneFactor * freezeDelay}
-	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts))
+	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts), metering.WithMalformed(d.logMalformedUsage()))
 	return d
 }
 
@@ -174,6 +174,15 @@
 	return err
 }
 
+// logMalformedUsage returns a function that logs each row of usage once that another writer has left and that cannot be used.
+func (d *duties) logMalformedUsage() func(table, key string, err error) {
+	rejected := map[string]*rejectedRows{}
+	for _, table := range []string{metering.CountTable, metering.WindowTable} {
+		rejected[table] = newRejectedRows(d.logger, table, "UsageRowRejected")
+	}
+	return func(table, key string, err error) { rejected[table].add(key, 0, err) }
+}
+
 // logLateCounts logs counts that arrived too late for their window's report, so that they can be billed by hand.
 func (d *duties) logLateCounts(w metering.Window, counts metering.Counts) {
 	for workspace, n := range counts {
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -76,6 +76,8 @@
 	// late is called at least once for counts that were written after their window was frozen. They are not reported, as a window
 	// must only ever be reported with one set of counts.
 	late func(w Window, counts Counts)
+	// malformed is called with each row, at each read of it, that cannot be used.
+	malformed func(table, key string, err error)
 
 	// epoch is the epoch of the lease under which the fields below were loaded from the store; loaded is false if they must be
 	// loaded again.
@@ -83,6 +85,8 @@
 	loaded bool
 	// next is the next window to freeze, 0 if there are no counts yet.
 	next Window
+	// occupied are the windows whose row cannot be used.
+	occupied map[Window]bool
 	// unreported are the frozen windows that are not marked as reported, oldest first; kept are the reported ones still stored.
 	unreported []frozenWindow
 	kept       []Window
@@ -109,9 +113,16 @@
 	}
 }
 
+// WithMalformed sets a function that is called with each row, at each read of it, that cannot be used. Such rows count nothing.
+func WithMalformed(malformed func(table, key string, err error)) Option {
+	return func(r *Reporter) {
+		r.malformed = malformed
+	}
+}
+
 // NewReporter returns a Reporter that continues from the windows in the store at the first Step that holds the lease.
 func NewReporter(t Table, f Fence, p Platform, c *Counter, b Bounds, opts ...Option) *Reporter {
-	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}}
+	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}, malformed: func(string, string, error) {}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -139,29 +150,6 @@
 	return r.report(ctx)
 }
 
-// load reads the frozen windows from the store.
-func (r *Reporter) load(ctx context.Context) error {
-	rows, err := r.table.Range(ctx, WindowTable, "", "")
-	if err != nil {
-		return err
-	}
-	r.unreported, r.kept, r.next, r.lastWriters = nil, nil, 0, nil
-	for _, row := range rows {
-		var w windowRow
-		if err := json.Unmarshal(row.Value, &w); err != nil {
-			return fmt.Errorf("decode usage window %s: %w", row.Key, err)
-		}
-		r.next = w.Window + 1
-		r.lastWriters = w.writers()
-		if w.Reported {
-			r.kept = append(r.kept, w.Window)
-			continue
-		}
-		r.unreported = append(r.unreported, frozenWindow{row: w, revision: row.Revision})
-	}
-	return nil
-}
-
 // freezeSettled freezes, in order, the windows that ended at least minSettle ago and whose counts are complete, and those that
 // ended at least FreezeDelay ago.
 func (r *Reporter) freezeSettled(ctx context.Context) error {
@@ -173,6 +161,11 @@
 		}
 	}
 	for r.next != 0 && r.next <= last {
+		if r.occupied[r.next] {
+			// It may have been reported before its row was overwritten, so it must not be frozen again. Its counts are late.
+			r.next++
+			continue
+		}
 		sum, err := r.sum(ctx, r.next)
 		if err != nil {
 			return err
@@ -191,17 +184,6 @@
 	return nil
 }
 
-// findFirst sets next to the first window that has counts.
-func (r *Reporter) findFirst(ctx context.Context) error {
-	rows, err := r.table.Range(ctx, CountTable, "", "")
-	if err != nil || len(rows) == 0 {
-		return err
-	}
-	first, _, err := parseKey(rows[0].Key)
-	r.next = first
-	return err
-}
-
 // freeze stores a window's row. Its counts never change afterwards, whichever instance reports it. Late counts of earlier windows
 // are passed to late and removed.
 func (r *Reporter) freeze(ctx context.Context, s *windowSum) error {
--- a/serving/metering/rows.go
+++ b/serving/metering/rows.go
@@ -26,6 +26,9 @@
 	Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error)
 }
 
+// maxCount is the highest number of requests of a workspace in a window that a row may have.
+const maxCount = 1 << 31
+
 // countRow is the stored value of one incarnation's counts of a window.
 type countRow struct {
 	Counts Counts
@@ -58,6 +61,22 @@
 	return Window(n), source, err
 }
 
+// isKeyOf reports whether a key is the one under which a window's row, or its counts from a source, are stored.
+func isKeyOf(key string, w Window) bool {
+	prefix := windowKey(w)
+	return w >= 0 && (key == prefix || strings.HasPrefix(key, prefix+"/"))
+}
+
+// valid returns an error if a row has counts that no instance writes.
+func (c Counts) valid() error {
+	for workspace, n := range c {
+		if n < 0 || n > maxCount {
+			return fmt.Errorf("workspace %.64q has %d requests", workspace, n)
+		}
+	}
+	return nil
+}
+
 // sourceInstance returns the instance of a source.
 func sourceInstance(source string) wire.InstanceName {
 	instance, _, _ := strings.Cut(source, "/")
--- a/serving/metering/sum.go
+++ b/serving/metering/sum.go
@@ -84,7 +84,8 @@
 	for _, row := range rows {
 		window, source, written, err := decodeCounts(row)
 		if err != nil {
-			return nil, err
+			r.malformed(CountTable, row.Key, err)
+			continue
 		}
 		switch {
 		case window > w: // w+1, at which the range ends
@@ -123,9 +124,15 @@
 	if err != nil {
 		return 0, "", countRow{}, fmt.Errorf("decode the key of usage counts %s: %w", row.Key, err)
 	}
+	if !isKeyOf(row.Key, w) || source == "" {
+		return 0, "", countRow{}, fmt.Errorf("usage counts have the key %.64q", row.Key)
+	}
 	var written countRow
 	if err := json.Unmarshal(row.Value, &written); err != nil {
 		return 0, "", countRow{}, fmt.Errorf("decode usage counts %s: %w", row.Key, err)
 	}
+	if err := written.Counts.valid(); err != nil {
+		return 0, "", countRow{}, fmt.Errorf("usage counts %s: %w", row.Key, err)
+	}
 	return w, source, written, nil
 }
