Do not compute with lease rows that no keeper writes

Cause: numbers of the row were used as they came, and overflowed. Now a row beyond what a keeper writes is a RowError, as one that does not decode. It is not taken over: it does not say which epoch was held last. No such row ends a process.

Rows that do not decode, deeply nested ones too, were not taken over before.

--- a/shared/lease/table.go
+++ b/shared/lease/table.go
@@ -52,6 +52,21 @@
 	revision wire.Revision
 }
 
+// Bounds of what a keeper writes. A row beyond them is another writer's: computing with it would overflow.
+const (
+	maxTermMillis            = 24 * 60 * 60 * 1000
+	maxEpoch      wire.Epoch = 1 << 52
+	maxRenewal               = 1 << 52
+)
+
+// checkRow returns an error unless a keeper may have written a row.
+func checkRow(r *wire.LeaseRow) error {
+	if r.TermMillis < 0 || r.TermMillis > maxTermMillis || r.Epoch < 0 || r.Epoch > maxEpoch || r.Renewal < 0 || r.Renewal > maxRenewal {
+		return fmt.Errorf("epoch %d, renewal %d or term %d ms is out of bounds", r.Epoch, r.Renewal, r.TermMillis)
+	}
+	return nil
+}
+
 // findRow finds a lease's row among rows and decodes it. If there is none, the result has revision zero.
 func findRow(name wire.LeaseName, rows []wire.Row) (storedRow, error) {
 	for _, r := range rows {
@@ -62,6 +77,9 @@
 		if err := json.Unmarshal(r.Value, &s.row); err != nil {
 			return storedRow{}, &RowError{Lease: name, Err: err}
 		}
+		if err := checkRow(&s.row); err != nil {
+			return storedRow{}, &RowError{Lease: name, Err: err}
+		}
 		return s, nil
 	}
 	return storedRow{}, nil
