Take only an engine's answers that name the attempt as its own

In the product's own interface, too, a rejection of another request, or of an earlier attempt, that an engine wrote once more on a kept connection made the entry tell its caller that the request had not run (Outcome NotRun) though an engine was running it.

Cause: only answers with status 200 had to echo Request-Id and Attempt; rejections were taken as they came. Now all have to, as docs/design/programs.md says of engines; any other answer is a failed attempt that may have run.

Evidence, TestRejectionOfOtherRequestProvesNothing on the code before:

rejection_of_another_request: status 502 with outcome "NotRun", want "Unknown"

and for another attempt, a refusal with 400 and a missing model; green now. The proofs TestNotRun*, TestAnswersStay*, TestCut* and TestKilledEngine* are green beside it. Plain services echo no id: a request that may run once has a connection of its own there, and repeatable ones are listed as suspected.

--- a/entry/answer/bench_test.go
+++ b/entry/answer/bench_test.go
@@ -57,7 +57,7 @@
 }
 
 // benchDocument returns an accepted document with one model and one workspace.
-func benchDocument(b *testing.B) *document.Current {
+func benchDocument(b testing.TB) *document.Current {
 	b.Helper()
 	text, err := document.Encode(&document.Document{
 		Model:        []document.Model{{Name: "model", Version: "v1", PromptPrice: 400, OutputPrice: 1600}},
@@ -75,7 +75,7 @@
 }
 
 // benchEntry starts an answer server that sends its requests to engine, and returns the server's address.
-func benchEntry(b *testing.B, engine string) string {
+func benchEntry(b testing.TB, engine string) string {
 	b.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
--- a/entry/answer/exchange.go
+++ b/entry/answer/exchange.go
@@ -146,14 +146,14 @@
 }
 
 // checkResponse checks the header of an engine's response. It returns nil if the response has status 200 and belongs to this
-// attempt.
+// attempt. A response that does not name this attempt proves nothing about it: it may be a repetition of one to another request.
 func (x *exchange) checkResponse(resp *http.Response) *attemptError {
 	h := resp.Header
+	if h.Get(caller.HeaderRequest) != string(x.requestID) || h.Get(caller.HeaderAttempt) != strconv.Itoa(x.attempt) {
+		x.mayHaveRun = true
+		return &attemptError{Err: fmt.Errorf("response with status %d is for request %q attempt %q, not for attempt %d of this request", resp.StatusCode, h.Get(caller.HeaderRequest), h.Get(caller.HeaderAttempt), x.attempt)}
+	}
 	if resp.StatusCode == http.StatusOK {
-		if h.Get(caller.HeaderRequest) != string(x.requestID) || h.Get(caller.HeaderAttempt) != strconv.Itoa(x.attempt) {
-			x.mayHaveRun = true
-			return &attemptError{Err: fmt.Errorf("response is for request %q attempt %q, not for attempt %d of this request", h.Get(caller.HeaderRequest), h.Get(caller.HeaderAttempt), x.attempt)}
-		}
 		return nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
