--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -74,7 +74,9 @@
 	RetryAfter time.Duration
 	// RetryAfterErr is set if it said so in a form that has no meaning or one that was bounded.
 	RetryAfterErr error
-	Body          Body
+	// EventStream is set if the endpoint says that the body is a stream of events.
+	EventStream bool
+	Body        Body
 }
 
 // Success reports whether the status is 2xx.
