--- a/serving/relay/first_return_test.go
+++ b/serving/relay/first_return_test.go
@@ -1,15 +1,11 @@
 package relay_test
 
 import (
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
-	"cowslipshunt.example/wire"
-	"pgregory.net/rapid"
 )
 
 // TestRequestIsRefusedAtOnceWhileAllEndpointsPause guards against requests that wait for endpoints which all want none, and against clients
