--- a/router/logger.go
+++ b/router/logger.go
@@ -98,6 +98,9 @@
 	if decision.Status != 0 {
 		entry = entry.Int("Status", decision.Status)
 	}
+	if len(decision.Parts) > 0 {
+		entry = entry.Int("Events", decision.Events).Strs("Parts", decision.Parts)
+	}
 	if decision.Reason != "" {
 		entry = entry.Str("Reason", decision.Reason)
 	}
--- a/serving/placement/prompt.go
+++ b/serving/placement/prompt.go
@@ -64,6 +64,15 @@
 	return p.IDs
 }
 
+// SharedNames returns the names of the parts that other prompts may share: all parts but the last.
+func (p *Prompt) SharedNames() []string {
+	var names []string
+	for i := range len(p.Parts) - 1 {
+		names = append(names, p.Parts[i].Name)
+	}
+	return names
+}
+
 // UncachedTokens returns how many tokens of the prompt an endpoint has to prefill if it has the first cached parts in its KV cache.
 func (p *Prompt) UncachedTokens(cached int) int {
 	n := p.Tokens
--- a/serving/relay/exchange.go
+++ b/serving/relay/exchange.go
@@ -19,6 +19,8 @@
 	ended time.Time
 	// status is that of the endpoint's answer, 0 if none arrived.
 	status int
+	// events counts the events of a stream that had data.
+	events int
 	// err is how the exchange failed, nil if it did not.
 	err error
 }
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -161,9 +161,10 @@
 	j.excluded = append(j.excluded, e.Entry().ID)
 	now := j.relay.clock.Now()
 	j.pause = e.MarkFailed(now)
-	j.observe("Failed", e, 0, "the send failed or the answer broke off; this request avoids the endpoint", err)
 	var neverSent *NeverSentError
-	if !errors.As(err, &neverSent) {
+	reached := !errors.As(err, &neverSent)
+	j.observeFailure(e, reached, err)
+	if reached {
 		return
 	}
 	if pause := j.relay.reachability.MarkUnreachable(e.Entry(), now); pause > 0 {
@@ -241,6 +242,16 @@
 	j.relay.observer.Decided(d)
 }
 
+// observeFailure passes a failed send to the observer, and whether the endpoint may have received it.
+func (j *job) observeFailure(e *roster.Endpoint, reached bool, err error) {
+	d := j.decision("Failed", "the send failed or the answer broke off; this request avoids the endpoint", err)
+	j.describeEndpoint(&d, e)
+	if reached {
+		d.Events, d.Parts = j.exchange.events, j.request.Prompt.SharedNames()
+	}
+	j.relay.observer.Decided(d)
+}
+
 // observeEnd passes the end of a request to the observer, with the endpoint that held it last, for how long, and what it had answered.
 func (j *job) observeEnd(ctx context.Context, step, reason string) {
 	d := j.decision(step, reason, context.Cause(ctx))
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -55,6 +55,10 @@
 	Held time.Duration
 	// Status is the HTTP status of the answer that was decided on, or 0.
 	Status int
+	// Events is how many events with data a send had yielded that failed, Parts the names of the prompt's shared parts; both are set
+	// only for a send that failed after the endpoint may have received it.
+	Events int
+	Parts  []string
 	Reason string
 	Err    error
 }
