Add tests for prompt parts that crash endpoints

A part of a prompt may crash each endpoint that begins to generate from it. Its requests must stop reaching endpoints after a few crashes, whichever instances they arrive at, and sound requests with the same other parts must go on.

--- /dev/null
+++ b/router/quarantine_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/platform"
+	"cowslipshunt.example/platform/platformtest"
+)
+
+// Bounds of the requests with a part that crashes endpoints: lateSends may reach endpoints later than contactTime after the crash with the
+// number firstCrashes.
+const (
+	firstCrashes = 5
+	lateSends    = 3
+	contactTime  = 3 * time.Second
+)
+
+// crashCounter counts the requests with the part "bad" that endpoints have received.
+type crashCounter struct {
+	mu sync.Mutex
+	// since is when the crash with the number firstCrashes was.
+	since           time.Time
+	received, lates int
+}
+
+func (c *crashCounter) count() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received++
+	if c.received == firstCrashes {
+		c.since = time.Now()
+	}
+	if c.received > firstCrashes && time.Since(c.since) > contactTime {
+		c.lates++
+	}
+}
+
+// late returns how many requests came later than contactTime after the crash with the number firstCrashes.
+func (c *crashCounter) late() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lates
+}
+
+// total returns how many requests came.
+func (c *crashCounter) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
+// crashingReplicas lists replicas at the store of an instance that close the connection of each request with the part "bad". It returns
+// the counter of such requests.
+func (x *testInstance) crashingReplicas(n int) *crashCounter {
+	received := &crashCounter{}
+	for i := range n {
+		r := platformtest.NewReplica(x.t, func(r *http.Request, body []byte) (string, bool) {
+			if platformtest.HasPromptPart(r.Header, "bad") {
+				received.count()
+				return "", false
+			}
+			return respondDone(r, body)
+		})
+		x.store.Put(platform.ReplicaTable, fmt.Sprint("i-", i), platformtest.Entry(r.Address, "ready"))
+	}
+	return received
+}
+
+// joining returns an edit of the settings of an instance with another name and the store of x.
+func (x *testInstance) joining(name string) func(string) string {
+	return func(s string) string { return platformtest.Joining(s, name, x.store.Address) }
+}
+
+// postPrompt sends one request whose prompt has two shared parts, and returns the status, the Retry-After and the body of the answer.
+func (x *testInstance) postPrompt(id, first, second string) (status int, retryAfter float64, text string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+x.settings.CallerAddress+"/a/b", strings.NewReader("book"))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	platformtest.Identify(req.Header, id, "k1")
+	platformtest.SetPrompt(req.Header, first, second, "own-"+id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, 0, ""
+	}
+	retryAfter, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return resp.StatusCode, retryAfter, string(body)
+}
+
+// TestInstancesShareWhichPromptPartsCrashEndpoints guards against requests with a part that crashes endpoints arriving at several
+// instances, each of which sees too few of the crashes, and at one that has started since.
+func TestInstancesShareWhichPromptPartsCrashEndpoints(t *testing.T) {
+	const replicas = 24
+	x := startInstance(t, respondDone)
+	x.configure(1, "k1")
+	received := x.crashingReplicas(replicas)
+	y := startInstance(t, respondDone, x.joining("front-a-2"))
+	n := 0
+	post := func(i *testInstance, first, second string) (int, float64, string) {
+		n++
+		return i.postPrompt(fmt.Sprint("r", n), first, second)
+	}
+	served := func(i *testInstance) bool {
+		status, _, _ := post(i, "first", "fine")
+		return status == http.StatusOK
+	}
+	held := func(i *testInstance) bool {
+		status, retryAfter, text := post(i, "first", "bad")
+		if n := received.late(); n > lateSends {
+			t.Fatalf("%d requests with the part reached endpoints late, %d in all", n, received.total())
+		}
+		return status == http.StatusServiceUnavailable && strings.HasPrefix(text, "NotRun") && retryAfter > 1
+	}
+	for _, i := range []*testInstance{x, y} {
+		i.eventually("a request that is served", func() bool { return served(i) })
+	}
+	x.eventually("requests with the part that are refused by both instances", func() bool {
+		atX, atY := held(x), held(y)
+		return atX && atY
+	})
+	z := startInstance(t, respondDone, x.joining("front-a-3"))
+	z.eventually("a later instance that knows of the part", func() bool {
+		return served(z) && strings.Contains(z.log.String(), `"message":"PromptQuarantine"`)
+	})
+	before := received.total()
+	if !held(z) || received.total() > before {
+		t.Error("a request with the part was not refused by an instance that has started since")
+	}
+	for _, i := range []*testInstance{x, y, z} {
+		if !served(i) {
+			t.Error("a sound request with the same first part was not served")
+		}
+	}
+}
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -43,6 +43,8 @@
 
 	// sendsSlowly runs the request and sends its events at slowInterval.
 	sendsSlowly
+	// crashes begins to run the request and ends with all its connections.
+	crashes
 	// sendsNoEvents runs the request and answers with a stream that ends without an event.
 	sendsNoEvents
 )
@@ -100,6 +102,8 @@
 		return nil, context.Cause(ctx)
 	case losesAnswer:
 		return nil, errors.New("reset")
+	case crashes:
+		return nil, io.ErrUnexpectedEOF
 	case fails:
 		return &relay.Answer{Status: 500, Body: &body{text: "failed"}}, nil
 	case answers503:
--- a/serving/relay/harness_test.go
+++ b/serving/relay/harness_test.go
@@ -89,9 +89,13 @@
 const budgetRatio = 0.2
 
 func newHarness(next func(a *relay.Attempt) behaviour) *harness {
+	return newHarnessAt(clockwork.NewRealClock(), next)
+}
+
+func newHarnessAt(clock clockwork.Clock, next func(a *relay.Attempt) behaviour) *harness {
 	h := &harness{sender: &fakeSender{next: next}, recorder: &recorder{}, directory: roster.NewDirectory()}
 	bounds := relay.BudgetBounds{Window: 10 * time.Second, Ratio: budgetRatio, Slack: 100}
-	h.relay = relay.New(h.directory, h.sender, h.recorder, h.recorder, clockwork.NewRealClock(), "a", bounds)
+	h.relay = relay.New(h.directory, h.sender, h.recorder, h.recorder, clock, "a", bounds)
 	for i := range 4 {
 		for service, stages := range map[wire.ServiceName][]roster.Stage{plainService: {roster.NoStage}, engineService: {roster.Prefill, roster.Decode}} {
 			for _, stage := range stages {
