Withhold requests with prompt parts that crash endpoints

Callers of all kinds were refused or cut off: requests of one kind crashed one endpoint after the other for as long as they came, each taking the other requests of its endpoint with it.

Cause: a request that broke off was charged to the endpoint alone. Each instance avoided the endpoint and sent the request, and the next one with the same prompt part, to another. No instance linked the crashes, and each saw only a few of them. The class: a request that is fatal to whatever runs it, in a system that retries elsewhere.

Ruled out by the log lines of: overload and a single caller or route.

serving/quarantine keeps the runs that broke off before their first event, with their prompt parts, and which parts runs have completed with. A part that no run has completed with is held once runs with it broke off at three endpoint incarnations, two of them one after the other; a part that was sound before needs more. Crashes that happen together count once, so a cut, a kill or a restart of many endpoints is no evidence. While the evidence fits several parts only prompts with all of them are held; the first completed run tells which is at fault. Instances share crashes, sound parts and holds in the datagrams of their load reports, four times each, and the first four repeat holds for instances that start later. Held requests are refused before each send, prefills too, as not run, with the rest of the hold as Retry-After. A hold lasts a minute and doubles; then one instance lets one probe through.

--- a/router/logger.go
+++ b/router/logger.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/process"
@@ -123,3 +124,14 @@
 func (d decisionLog) logSuspected(e *roster.Endpoint, peers int, avoided bool) {
 	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", peers).Bool("Avoided", avoided).Msg("EndpointSuspected")
 }
+
+// logQuarantine logs and counts a change of the prompt parts that are in quarantine.
+func (d decisionLog) logQuarantine(c quarantine.Change) {
+	metrics.GetOrCreateCounter(`router_quarantine_changes_total{event="` + c.Event.String() + `"}`).Inc()
+	ids := make([]string, 0, len(c.Parts))
+	for _, p := range c.Parts {
+		ids = append(ids, p.String())
+	}
+	d.logger.Warn().Str("Event", c.Event.String()).Strs("PartIds", ids).Int("Crashes", c.Crashes).Bool("FromPeer", c.FromPeer).
+		Int64("LeftMillis", c.Left.Milliseconds()).Msg("PromptQuarantine")
+}
--- a/router/peers.go
+++ b/router/peers.go
@@ -11,6 +11,7 @@
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
@@ -35,12 +36,14 @@
 	maxHandoffBytes = 16 << 10
 )
 
-// message is the content of one datagram: a load report with the applied versions, a hand-off of usage counts, or an update of a table.
+// message is the content of one datagram: a load report with the applied versions and evidence, a hand-off of usage counts, or an update of a table.
 type message struct {
 	Report  *peerload.Report    `cbor:"1,keyasint,omitempty"`
 	Handoff *metering.Handoff   `cbor:"2,keyasint,omitempty"`
 	Applied *appliedVersions    `cbor:"3,keyasint,omitempty"`
 	Update  *replication.Update `cbor:"4,keyasint,omitempty"`
+	// Evidence tells of prompt parts that crash endpoints.
+	Evidence *quarantine.Evidence `cbor:"5,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -49,7 +52,9 @@
 	conn      *net.UDPConn
 	reporter  *peerload.Reporter
 	peerLoads *peerload.Table
-	handoffs  *metering.Handoffs
+	// quarantine is shared with the peers.
+	quarantine *quarantine.Table
+	handoffs   *metering.Handoffs
 	// agreedNow returns the time that all instances agree on. The age of a hand-off is computed from it.
 	agreedNow func() time.Time
 	logger    *log.Logger
@@ -67,7 +72,7 @@
 }
 
 // newPeers listens at a UDP address and exchanges reports with the peers until close is called.
-func newPeers(self lease.Identity, address string, reporter *peerload.Reporter, peerLoads *peerload.Table, handoffs *metering.Handoffs, agreedNow func() time.Time, logger *log.Logger) (*peers, error) {
+func newPeers(self lease.Identity, address string, reporter *peerload.Reporter, peerLoads *peerload.Table, q *quarantine.Table, handoffs *metering.Handoffs, agreedNow func() time.Time, logger *log.Logger) (*peers, error) {
 	addr, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
@@ -77,7 +82,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, handoffs: handoffs, agreedNow: agreedNow, logger: logger, stop: stop}
+	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, agreedNow: agreedNow, logger: logger, stop: stop}
 	go p.receiveLoop(ctx)
 	go p.reportLoop(ctx)
 	return p, nil
@@ -182,6 +187,9 @@
 	if m.Handoff != nil {
 		p.handoffs.Keep(*m.Handoff, p.agreedNow())
 	}
+	if m.Evidence != nil {
+		p.quarantine.Apply(m.Evidence)
+	}
 	f := p.tableFollowers()
 	if f != nil && m.Applied != nil {
 		f.peerApplied(*m.Applied)
@@ -221,19 +229,20 @@
 func (p *peers) reportOnce(addresses []string, lastSent *time.Time) {
 	now := time.Now()
 	report, changed := p.reporter.Next(now)
+	evidence, urgent := p.quarantine.Next()
 	// Without the margin, a timer that fires a moment early would double the interval.
-	if !changed && now.Sub(*lastSent) < maxReportInterval-reportInterval {
+	if !changed && !urgent && now.Sub(*lastSent) < maxReportInterval-reportInterval {
 		return
 	}
 	*lastSent = now
 	p.peerLoads.Expire(now)
-	p.broadcast(report, addresses)
+	p.broadcast(report, evidence, addresses)
 }
 
 // broadcast sends a report to all peers. A report that does not fit into a datagram is shortened until it does. One that does not
 // fit although it has neither sent parts nor loads left is logged and not sent.
-func (p *peers) broadcast(report peerload.Report, addresses []string) {
-	m := message{Report: &report}
+func (p *peers) broadcast(report peerload.Report, evidence *quarantine.Evidence, addresses []string) {
+	m := message{Report: &report, Evidence: evidence}
 	if f := p.tableFollowers(); f != nil {
 		applied := f.applied()
 		m.Applied = &applied
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -10,11 +10,13 @@
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/tabletest"
 	"cowslipshunt.example/wire"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 )
 
 // TestHandoffsAgeByAgreedTime hands counts off between two instances whose agreed time differs from the wall clock by an
@@ -27,7 +29,7 @@
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		handoffs := metering.NewHandoffs(self.Incarnation)
 		reporter := peerload.NewReporter(name, self.Incarnation, address, "a", d)
-		p, err := newPeers(self, address, reporter, peerload.NewTable(name, d), handoffs, func() time.Time { return agreed }, newLogger(io.Discard, "error", name))
+		p, err := newPeers(self, address, reporter, peerload.NewTable(name, d), quarantine.New(clockwork.NewRealClock()), handoffs, func() time.Time { return agreed }, newLogger(io.Discard, "error", name))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -57,7 +59,7 @@
 	d.Put(roster.Entry{Key: roster.Key{ID: "i-1", Born: 1}, Service: "s", Domain: "a", Stage: roster.Decode, Slots: 1})
 	self := lease.Identity{Instance: "self", Incarnation: "1"}
 	address := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	p, err := newPeers(self, address, peerload.NewReporter("self", "1", address, "a", d), peerload.NewTable("self", d), metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "self"))
+	p, err := newPeers(self, address, peerload.NewReporter("self", "1", address, "a", d), peerload.NewTable("self", d), quarantine.New(clockwork.NewRealClock()), metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "self"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,6 +76,11 @@
 			Sent:    []peerload.SentParts{{Endpoint: "i-1", Parts: []roster.PartID{1}}},
 			Changes: []peerload.StageChange{{Endpoint: "i-1", To: roster.Prefill}}, Paused: []wire.EndpointId{"i-1"}}},
 		{Handoff: &metering.Handoff{Instance: "peer", Incarnation: "2", Window: 1, Counts: metering.Counts{"w": 1}, Made: 1}},
+		{Evidence: &quarantine.Evidence{
+			Crashes: []quarantine.Crash{{Endpoint: 1, Parts: []quarantine.PartID{2, 3}, SentAge: 20, FailedAge: 10}},
+			Sound:   []quarantine.Sound{{Part: 2, Age: 5}},
+			Holds:   []quarantine.Hold{{Parts: []quarantine.PartID{3}, FirstAge: 10, Left: 1000, Level: 1}},
+		}},
 		{Applied: &appliedVersions{Configuration: 3, Endpoints: 4}},
 	}
 	var seeds [][]byte
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +14,11 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/quarantine"
+	"cowslipshunt.example/wire"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
 )
 
 // Bounds of the requests with a part that crashes endpoints: lateSends may reach endpoints later than contactTime after the crash with the
@@ -145,3 +152,35 @@
 		}
 	}
 }
+
+// TestFullEvidenceFitsIntoDatagram guards against evidence that keeps an instance's reports from being sent.
+func TestFullEvidenceFitsIntoDatagram(t *testing.T) {
+	const crashes, sound, holds, partsOfAll, paused = 6, 16, 8, 24, 16
+	age := (24 * time.Hour).Milliseconds()
+	parts := func(n int) []quarantine.PartID {
+		return slices.Repeat([]quarantine.PartID{math.MaxUint64}, n)
+	}
+	e := &quarantine.Evidence{}
+	for range crashes {
+		e.Crashes = append(e.Crashes, quarantine.Crash{Endpoint: math.MaxUint64, Parts: parts(partsOfAll / crashes), SentAge: age, FailedAge: age})
+	}
+	for range sound {
+		e.Sound = append(e.Sound, quarantine.Sound{Part: math.MaxUint64, Age: age})
+	}
+	for range holds {
+		e.Holds = append(e.Holds, quarantine.Hold{Parts: parts(partsOfAll / holds), FirstAge: age, Left: -age, Level: 6})
+	}
+	report := &peerload.Report{From: "front-gt-central-a-100", Incarnation: wire.IncarnationId(uuid.NewString()), Sequence: math.MaxUint32,
+		Address: "10.100.100.100:65535", Domain: "gt-central-a", Paused: slices.Repeat([]wire.EndpointId{"i-0123456789"}, paused)}
+	data, err := cbor.Marshal(message{Report: report, Evidence: e, Applied: &appliedVersions{Configuration: math.MaxUint32, Endpoints: math.MaxUint32}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > maxDatagramBytes {
+		t.Errorf("the datagram has %d bytes", len(data))
+	}
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil || len(m.Evidence.Holds) != holds {
+		t.Errorf("the datagram is decoded as %+v, %v", m.Evidence, err)
+	}
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -17,6 +17,7 @@
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
@@ -72,6 +73,7 @@
 	handoffs      *metering.Handoffs
 	loadReporter  *peerload.Reporter
 	peerLoads     *peerload.Table
+	quarantine    *quarantine.Table
 	relay         *relay.Relay
 	callerHandler *callerHandler
 	idleConns     *idleConns
@@ -108,9 +110,11 @@
 	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
 	observer := decisionLog{logger: logger}
 	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected))
+	n.quarantine = quarantine.New(clock, quarantine.WithRank(n.peerLoads.Rank), quarantine.WithObserver(observer.logQuarantine))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(heldBytes(s.MemoryBytes)))
-	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent))
+	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent),
+		relay.WithQuarantine(n.quarantine))
 	n.callerHandler = &callerHandler{relay: n.relay, logger: logger}
 	return n
 }
@@ -122,7 +126,7 @@
 	// SIGHUP is handled until the process ends, because its default action would terminate the process.
 	signal.Notify(n.hup, syscall.SIGHUP)
 	var err error
-	if n.peers, err = newPeers(n.self, s.PeerAddress, n.loadReporter, n.peerLoads, n.handoffs, n.agreedClock.Now, n.logger); err != nil {
+	if n.peers, err = newPeers(n.self, s.PeerAddress, n.loadReporter, n.peerLoads, n.quarantine, n.handoffs, n.agreedClock.Now, n.logger); err != nil {
 		return err
 	}
 	defer n.peers.close()
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -23,6 +23,9 @@
 		return j.chooseDecode()
 	}
 	for range maxPrefillAttempts {
+		if j.withheld() {
+			return nil
+		}
 		need := j.need(roster.Prefill)
 		e := placement.ChoosePrefill(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
 		if e == nil || !j.allowSend() {
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -40,6 +40,10 @@
 	// queuedTokens and newTokens are logged with the decisions on the endpoint chosen last: the tokens that were queued for
 	// prefill there, and those that this request added.
 	queuedTokens, newTokens int
+	// suspected is set if the request broke off at an endpoint as others with the same parts did.
+	suspected bool
+	// returnAfter is when the client should return if the prompt is in quarantine.
+	returnAfter time.Duration
 	// pause is how long the endpoint that failed last is avoided; it is reset once it is logged.
 	pause time.Duration
 	// exchange is the send or prefill in progress, or the one that ended last without an answer for the caller; nil before the first.
@@ -165,6 +169,7 @@
 	reached := !errors.As(err, &neverSent)
 	j.observeFailure(e, reached, err)
 	if reached {
+		j.recordCrash(e, err)
 		return
 	}
 	if pause := j.relay.reachability.MarkUnreachable(e.Entry(), now); pause > 0 {
@@ -208,6 +213,9 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	if j.returnAfter > 0 {
+		return j.returnAfter
+	}
 	return refusalRetryAfter
 }
 
--- /dev/null
+++ b/serving/relay/quarantine.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"syscall"
+
+	"cowslipshunt.example/serving/roster"
+)
+
+// quarantineReason is why a request is refused whose prompt is in quarantine.
+const quarantineReason = "the prompt may have a part that crashes endpoints"
+
+// withheld reports whether the request must not be sent because its prompt is in quarantine or has just broken off as others did. It is called
+// before each send.
+func (j *job) withheld() bool {
+	if j.suspected {
+		return true
+	}
+	retryAfter, admitted := j.relay.quarantine.Admit(j.request.ID, &j.request.Prompt)
+	if admitted {
+		return false
+	}
+	j.returnAfter = retryAfter
+	return true
+}
+
+// recordCrash records that a send broke off before the endpoint had answered. The prompt may have crashed the endpoint.
+func (j *job) recordCrash(e *roster.Endpoint, err error) {
+	if j.exchange.events == 0 && isBreakOff(err) {
+		j.suspected = j.relay.quarantine.Crashed(e.Entry().Key, &j.request.Prompt, j.exchange.began)
+	}
+}
+
+// isBreakOff reports whether a connection was closed or reset by the endpoint. A context that has ended and a connection that timed out
+// give other errors.
+func isBreakOff(err error) bool {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/route"
@@ -84,6 +85,7 @@
 	domain       wire.DomainName
 	bounds       BudgetBounds
 	reachability *roster.Reachability
+	quarantine   *quarantine.Table
 
 	// reportCached is called with the parts of prompts that an endpoint newly caches.
 	reportCached func(id wire.EndpointId, parts []roster.PartID)
@@ -104,6 +106,13 @@
 	}
 }
 
+// WithQuarantine sets the table of the prompt parts that crash endpoints, which peers may share.
+func WithQuarantine(q *quarantine.Table) Option {
+	return func(r *Relay) {
+		r.quarantine = q
+	}
+}
+
 // New returns a relay for an instance in the given failure domain. It refuses all requests until SetTable is called.
 func New(d *roster.Directory, s Sender, m Meter, o Observer, clock clockwork.Clock, domain wire.DomainName, bounds BudgetBounds, opts ...Option) *Relay {
 	r := &Relay{
@@ -115,6 +124,7 @@
 		domain:       domain,
 		bounds:       bounds,
 		reachability: roster.NewReachability(),
+		quarantine:   quarantine.New(clock),
 		budgets:      map[wire.ServiceName]*retry.Budget{},
 		reportCached: func(wire.EndpointId, []roster.PartID) {},
 	}
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -17,11 +17,20 @@
 			j.fail(ctx, "no attempt is left")
 			return
 		}
+		if j.withheld() {
+			j.fail(ctx, quarantineReason)
+			return
+		}
 		e := j.chooseEndpoint(ctx)
 		if ctx.Err() != nil {
 			j.fail(ctx, endReason(ctx))
 			return
 		}
+		// A prefill may have taken long.
+		if j.withheld() {
+			j.fail(ctx, quarantineReason)
+			return
+		}
 		if e == nil {
 			j.fail(ctx, "no endpoint is open")
 			return
@@ -123,6 +132,9 @@
 	if a.Status < 500 {
 		j.recordSuccess(e)
 	}
+	if a.Success() {
+		j.relay.quarantine.Completed(&j.request.Prompt)
+	}
 	if j.streaming {
 		j.observe("Aborted", e, a.Status, "the endpoint answered the resumption with something else than a stream", nil)
 		j.caller.Abort()
@@ -190,6 +202,9 @@
 func (j *job) finishStream(e *roster.Endpoint, a *Answer) bool {
 	j.meterOnce()
 	j.forwardHead(e, a)
+	if j.exchange.events > 0 {
+		j.relay.quarantine.Completed(&j.request.Prompt)
+	}
 	j.observe("Answered", e, a.Status, "", nil)
 	j.caller.End()
 	return true
