--- a/router/leaving_test.go
+++ b/router/leaving_test.go
@@ -13,10 +13,12 @@
 	"cowslipshunt.example/platform/platformtest"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/wire"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 )
 
 // TestEndpointThatSaysItLeavesGetsNoMoreRequests guards against requests to an endpoint that said in an answer that it leaves, while the
@@ -101,7 +103,7 @@
 	d.Put(roster.Entry{Key: k, Service: "s", Domain: "a", Slots: 1})
 	self := lease.Identity{Instance: "receiver", Incarnation: "1"}
 	address := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	receiver, err := newPeers(self, address, peerload.NewReporter("receiver", "1", address, "a", d), peerload.NewTable("receiver", d),
+	receiver, err := newPeers(self, address, peerload.NewReporter("receiver", "1", address, "a", d), peerload.NewTable("receiver", d), quarantine.New(clockwork.NewRealClock()),
 		metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "receiver"))
 	if err != nil {
 		t.Fatal(err)
@@ -111,7 +113,7 @@
 	report := peerload.Report{From: "sender", Incarnation: "1", Sequence: 1, Leaving: []peerload.Departure{{Endpoint: k.ID, Born: k.Born}}}
 	waitFor(t, "the leaving endpoint", func() bool {
 		report.Sequence++
-		sender.broadcast(report, []string{address})
+		sender.broadcast(report, nil, []string{address})
 		return d.View().All()["i-1"].Leaving()
 	})
 }
--- a/router/logger.go
+++ b/router/logger.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/process"
@@ -98,6 +99,9 @@
 	if decision.Status != 0 {
 		entry = entry.Int("Status", decision.Status)
 	}
+	if len(decision.Parts) > 0 {
+		entry = entry.Int("Events", decision.Events).Strs("Parts", decision.Parts)
+	}
 	if decision.Reason != "" {
 		entry = entry.Str("Reason", decision.Reason)
 	}
@@ -140,3 +144,14 @@
 func (d decisionLog) logSuspected(e *roster.Endpoint, peers int, avoided bool) {
 	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", peers).Bool("Avoided", avoided).Msg("EndpointSuspected")
 }
+
+// logQuarantine logs and counts a change of the prompt parts that are in quarantine.
+func (d decisionLog) logQuarantine(c quarantine.Change) {
+	metrics.GetOrCreateCounter(`router_quarantine_changes_total{event="` + c.Event.String() + `"}`).Inc()
+	ids := make([]string, 0, len(c.Parts))
+	for _, p := range c.Parts {
+		ids = append(ids, p.String())
+	}
+	d.logger.Warn().Str("Event", c.Event.String()).Strs("PartIds", ids).Int("Crashes", c.Crashes).Bool("FromPeer", c.FromPeer).
+		Int64("LeftMillis", c.Left.Milliseconds()).Msg("PromptQuarantine")
+}
--- /dev/null
+++ b/serving/relay/decision.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+
+	"cowslipshunt.example/serving/roster"
+)
+
+// observe passes a decision on the request to the observer. The endpoint is nil if the decision concerns none.
+func (j *job) observe(step string, e *roster.Endpoint, status int, reason string, err error) {
+	d := j.decision(step, reason, err)
+	d.Status = status
+	if e != nil {
+		j.describeEndpoint(&d, e)
+	}
+	j.relay.observer.Decided(d)
+}
+
+// observeFailure passes a failed send to the observer, and whether the endpoint may have received it.
+func (j *job) observeFailure(e *roster.Endpoint, reached bool, err error) {
+	d := j.decision("Failed", "the send failed or the answer broke off; this request avoids the endpoint", err)
+	j.describeEndpoint(&d, e)
+	if reached {
+		d.Events, d.Parts = j.exchange.events, j.request.Prompt.SharedNames()
+	}
+	j.relay.observer.Decided(d)
+}
+
+// observeEnd passes the end of a request to the observer, with the endpoint that held it last, for how long, and what it had answered.
+func (j *job) observeEnd(ctx context.Context, step, reason string) {
+	d := j.decision(step, reason, context.Cause(ctx))
+	if x := j.exchange; x != nil {
+		j.describeEndpoint(&d, x.endpoint)
+		d.Status, d.Held = x.status, x.held(j.relay.clock.Now())
+		if d.Err == nil {
+			d.Err = x.err
+		}
+	}
+	j.relay.observer.Decided(d)
+}
+
+// decision returns a decision on the request that concerns no endpoint.
+func (j *job) decision(step, reason string, err error) Decision {
+	now := j.relay.clock.Now()
+	d := Decision{
+		Request:   j.request.ID,
+		Step:      step,
+		Workspace: j.workspace,
+		Version:   j.version,
+		Attempt:   j.sent,
+		Age:       now.Sub(j.request.Arrived),
+		Reason:    reason,
+		Err:       err,
+	}
+	if j.route != nil {
+		d.Route = j.route.Name
+	}
+	if !j.deadline.IsZero() {
+		d.Left = j.deadline.Sub(now)
+	}
+	return d
+}
+
+// describeEndpoint adds an endpoint and what was known of it to a decision.
+func (j *job) describeEndpoint(d *Decision, e *roster.Endpoint) {
+	d.Endpoint = e.Entry().ID
+	d.Waiting, d.Unread = j.queuedTokens, j.newTokens
+	d.Pause, j.pause = j.pause, 0
+}
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -44,6 +44,10 @@
 	// queuedTokens and newTokens are logged with the decisions on the endpoint chosen last: the tokens that were queued for
 	// prefill there, and those that this request added.
 	queuedTokens, newTokens int
+	// suspected is set if the request broke off at an endpoint as others with the same parts did.
+	suspected bool
+	// returnAfter is when the client should return if the prompt is in quarantine.
+	returnAfter time.Duration
 	// pause is how long the endpoint that failed last is avoided; it is reset once it is logged.
 	pause time.Duration
 	// exchange is the send or prefill in progress, or the one that ended last without an answer for the caller; nil before the first.
@@ -171,9 +175,11 @@
 	j.excluded = append(j.excluded, e.Entry().ID)
 	now := j.relay.clock.Now()
 	j.pause = e.MarkFailed(now)
-	j.observe("Failed", e, 0, "the send failed or the answer broke off; this request avoids the endpoint", err)
 	var neverSent *NeverSentError
-	if !errors.As(err, &neverSent) {
+	reached := !errors.As(err, &neverSent)
+	j.observeFailure(e, reached, err)
+	if reached {
+		j.recordCrash(e, err)
 		return
 	}
 	if pause := j.relay.reachability.MarkUnreachable(e.Entry(), now); pause > 0 {
@@ -217,6 +223,9 @@
 	if ctx.Err() != nil {
 		return 0
 	}
+	if j.returnAfter > 0 {
+		return j.returnAfter
+	}
 	if d := j.firstReturn(); d > 0 {
 		return d + time.Duration(rand.Float64()*float64(min(max(d/2, minReturnSpread), maxReturnSpread)))
 	}
@@ -244,55 +253,3 @@
 	j.queuedTokens, j.newTokens = e.PrefillLoad(), tokens
 	return e.Begin(tokens)
 }
-
-// observe passes a decision on the request to the observer. The endpoint is nil if the decision concerns none.
-func (j *job) observe(step string, e *roster.Endpoint, status int, reason string, err error) {
-	d := j.decision(step, reason, err)
-	d.Status = status
-	if e != nil {
-		j.describeEndpoint(&d, e)
-	}
-	j.relay.observer.Decided(d)
-}
-
-// observeEnd passes the end of a request to the observer, with the endpoint that held it last, for how long, and what it had answered.
-func (j *job) observeEnd(ctx context.Context, step, reason string) {
-	d := j.decision(step, reason, context.Cause(ctx))
-	if x := j.exchange; x != nil {
-		j.describeEndpoint(&d, x.endpoint)
-		d.Status, d.Held = x.status, x.held(j.relay.clock.Now())
-		if d.Err == nil {
-			d.Err = x.err
-		}
-	}
-	j.relay.observer.Decided(d)
-}
-
-// decision returns a decision on the request that concerns no endpoint.
-func (j *job) decision(step, reason string, err error) Decision {
-	now := j.relay.clock.Now()
-	d := Decision{
-		Request:   j.request.ID,
-		Step:      step,
-		Workspace: j.workspace,
-		Version:   j.version,
-		Attempt:   j.sent,
-		Age:       now.Sub(j.request.Arrived),
-		Reason:    reason,
-		Err:       err,
-	}
-	if j.route != nil {
-		d.Route = j.route.Name
-	}
-	if !j.deadline.IsZero() {
-		d.Left = j.deadline.Sub(now)
-	}
-	return d
-}
-
-// describeEndpoint adds an endpoint and what was known of it to a decision.
-func (j *job) describeEndpoint(d *Decision, e *roster.Endpoint) {
-	d.Endpoint = e.Entry().ID
-	d.Waiting, d.Unread = j.queuedTokens, j.newTokens
-	d.Pause, j.pause = j.pause, 0
-}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/route"
@@ -57,6 +58,10 @@
 	Held time.Duration
 	// Status is the HTTP status of the answer that was decided on, or 0.
 	Status int
+	// Events is how many events with data a send had yielded that failed, Parts the names of the prompt's shared parts; both are set
+	// only for a send that failed after the endpoint may have received it.
+	Events int
+	Parts  []string
 	Reason string
 	Err    error
 }
@@ -82,6 +87,7 @@
 	domain       wire.DomainName
 	bounds       BudgetBounds
 	reachability *roster.Reachability
+	quarantine   *quarantine.Table
 
 	// reportCached is called with the parts of prompts that an endpoint newly caches.
 	reportCached func(id wire.EndpointId, parts []roster.PartID)
@@ -102,6 +108,13 @@
 	}
 }
 
+// WithQuarantine sets the table of the prompt parts that crash endpoints, which peers may share.
+func WithQuarantine(q *quarantine.Table) Option {
+	return func(r *Relay) {
+		r.quarantine = q
+	}
+}
+
 // New returns a relay for an instance in the given failure domain. It refuses all requests until SetTable is called.
 func New(d *roster.Directory, s Sender, m Meter, o Observer, clock clockwork.Clock, domain wire.DomainName, bounds BudgetBounds, opts ...Option) *Relay {
 	r := &Relay{
@@ -113,6 +126,7 @@
 		domain:       domain,
 		bounds:       bounds,
 		reachability: roster.NewReachability(),
+		quarantine:   quarantine.New(clock),
 		budgets:      map[wire.ServiceName]*retry.Budget{},
 		reportCached: func(wire.EndpointId, []roster.PartID) {},
 	}
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -17,11 +17,20 @@
 			j.fail(ctx, "no attempt is left")
 			return
 		}
+		if j.withheld() {
+			j.fail(ctx, quarantineReason)
+			return
+		}
 		e := j.chooseEndpoint(ctx)
 		if ctx.Err() != nil {
 			j.fail(ctx, endReason(ctx))
 			return
 		}
+		// A prefill may have taken long.
+		if j.withheld() {
+			j.fail(ctx, quarantineReason)
+			return
+		}
 		if e == nil {
 			j.fail(ctx, "no endpoint is open")
 			return
@@ -128,6 +137,9 @@
 	if a.Status < 500 {
 		j.recordSuccess(e)
 	}
+	if a.Success() {
+		j.relay.quarantine.Completed(&j.request.Prompt)
+	}
 	if promisesNotRun(a.Status) {
 		j.observe("Withheld", e, a.Status, "clients would take the status as a promise that the request has not run", nil)
 		j.refuse(Refusal{Verdict: Unknown, Reason: "the endpoint refused the request without saying whether it ran"})
@@ -171,6 +183,7 @@
 		if event.HasData {
 			w.reset(eventTimeoutPauses * j.route.MaxPause)
 			j.meterOnce()
+			j.exchange.events++
 		}
 		j.forwardHead(e, a)
 		if err := j.caller.Event(event.Bytes); err != nil {
@@ -200,6 +213,9 @@
 func (j *job) finishStream(e *roster.Endpoint, a *Answer) bool {
 	j.meterOnce()
 	j.forwardHead(e, a)
+	if j.exchange.events > 0 {
+		j.relay.quarantine.Completed(&j.request.Prompt)
+	}
 	j.observe("Answered", e, a.Status, "", nil)
 	j.caller.End()
 	return true
