Name the request in the stand-in engine's rejections

The stand-in engine named them in all answers but those to malformed requests, which is against what the entries ask of an engine.

It now names them there too, and TestBadRequestsRunNothing checks that.

--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -12,6 +12,10 @@
 
 func (e *engine) serveCompletion(f format) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		// A rejection has to name its request too.
+		for _, name := range []string{standin.RequestHeader, standin.AttemptHeader} {
+			w.Header().Set(name, r.Header.Get(name))
+		}
 		j, err := readJob(w, r, f)
 		if err != nil {
 			refuse(w, http.StatusBadRequest, "invalid_request_error", err)
--- a/standin/engine/completions_test.go
+++ b/standin/engine/completions_test.go
@@ -117,7 +117,7 @@
 		`[]`:                                        http.StatusBadRequest,
 	}
 	for body, want := range tests {
-		if status, header, _ := e.plain(t, "/v1/completions", body); status != want || header.Get("Outcome") != "" {
+		if status, header, _ := e.plain(t, "/v1/completions", body); status != want || header.Get("Outcome") != "" || header.Get("Request-Id") != "r" || header.Get("Attempt") != "2" {
 			t.Errorf("%s: status %d, want %d; header %v", body, status, want, header)
 		}
 	}
