Take break-offs at endpoints that answer later for lost connections

Cause: a break-off was taken for the endpoint's crash. Where connections are reset on the way, a rare part can break off at three endpoints that go on serving; rolling restarts of the instances in the same seconds had made all of them forget that the part was sound.

An endpoint that begins to answer a run that was sent after a break-off has not crashed, so such break-offs are dropped, and peers are told. A crashed endpoint never answers again under its incarnation. Ruled out: higher thresholds, which let more requests through after real crashes.

TestBreakOffsAtLivingEndpointsAreNoEvidence is red without the call of Answered (all three instances hold the part).

--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -155,7 +155,7 @@
 
 // TestFullEvidenceFitsIntoDatagram guards against evidence that keeps an instance's reports from being sent.
 func TestFullEvidenceFitsIntoDatagram(t *testing.T) {
-	const crashes, sound, holds, partsOfAll, paused = 6, 16, 8, 24, 16
+	const crashes, sound, holds, alive, partsOfAll, paused = 6, 16, 8, 8, 24, 16
 	age := (24 * time.Hour).Milliseconds()
 	parts := func(n int) []quarantine.PartID {
 		return slices.Repeat([]quarantine.PartID{math.MaxUint64}, n)
@@ -170,6 +170,9 @@
 	for range holds {
 		e.Holds = append(e.Holds, quarantine.Hold{Parts: parts(partsOfAll / holds), FirstAge: age, Left: -age, Level: 6})
 	}
+	for range alive {
+		e.Alive = append(e.Alive, quarantine.Alive{Endpoint: math.MaxUint64, SentAge: age})
+	}
 	report := &peerload.Report{From: "front-gt-central-a-100", Incarnation: wire.IncarnationId(uuid.NewString()), Sequence: math.MaxUint32,
 		Address: "10.100.100.100:65535", Domain: "gt-central-a", Paused: slices.Repeat([]wire.EndpointId{"i-0123456789"}, paused)}
 	data, err := cbor.Marshal(message{Report: report, Evidence: e, Applied: &appliedVersions{Configuration: math.MaxUint32, Endpoints: math.MaxUint32}})
--- a/serving/quarantine/crash.go
+++ b/serving/quarantine/crash.go
@@ -49,6 +49,13 @@
 	return true
 }
 
+// dropBefore drops the crashes at an endpoint that failed before a time, and reports whether there were any.
+func (l *crashLog) dropBefore(e EndpointHash, at time.Time) bool {
+	n := len(l.crashes)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool { return c.endpoint == e && c.failed.Before(at) })
+	return len(l.crashes) < n
+}
+
 // expire drops the crashes that are too old, and reports whether there were any.
 func (l *crashLog) expire(now time.Time) bool {
 	n := len(l.crashes)
--- a/serving/quarantine/hold_test.go
+++ b/serving/quarantine/hold_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// TestBreakOffsAtLivingEndpointsAreNoEvidence guards against a quarantine of sound parts while connections are reset on the way: an endpoint
+// that answers a run that was sent later has not crashed.
+func TestBreakOffsAtLivingEndpointsAreNoEvidence(t *testing.T) {
+	c := newCluster(t, 3)
+	for i := range 10 {
+		p := promptOf(i, "rare")
+		k := roster.Key{ID: wire.EndpointId(fmt.Sprint("e", i)), Born: 1}
+		sent := c.clock.Now()
+		c.clock.Advance(step)
+		c.instances[0].Crashed(k, &p, sent)
+		c.pass(step)
+		c.instances[1].Answered(k, c.clock.Now())
+		c.pass(time.Second)
+	}
+	for i := range c.instances {
+		if _, admitted := c.admit(i, "rare"); !admitted {
+			t.Errorf("instance %d holds a sound part", i)
+		}
+	}
+}
+
 // TestEvidenceIsBounded guards against memory, and reports, that grow with the crashes and parts of a long outage.
 func TestEvidenceIsBounded(t *testing.T) {
 	const crashes, parts, maxReportedParts, maxReportedCrashes = 2000, 40, 24, 6
--- a/serving/quarantine/share.go
+++ b/serving/quarantine/share.go
@@ -10,6 +10,7 @@
 const (
 	maxSharedCrashes = 6
 	maxSharedSound   = 16
+	maxSharedAlive   = 8
 	maxSharedHolds   = 8
 	// maxSharedParts bounds the parts of all crashes in a report, and those of all holds. Each part takes 9 bytes.
 	maxSharedParts = 24
@@ -45,11 +46,19 @@
 	Level          int
 }
 
+// Alive reports that an endpoint answered a run that was sent so many milliseconds before the report.
+type Alive struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint EndpointHash
+	SentAge  int64
+}
+
 // Evidence is what a report tells the peers.
 type Evidence struct {
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
 	Sound   []Sound `cbor:"2,keyasint,omitempty"`
 	Holds   []Hold  `cbor:"3,keyasint,omitempty"`
+	Alive   []Alive `cbor:"4,keyasint,omitempty"`
 }
 
 // announcement is a sound part that the peers are told of.
@@ -68,13 +77,13 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	t.evaluateAll(now)
-	e = &Evidence{Crashes: t.shareCrashes(now), Sound: t.shareSound(now)}
-	urgent = len(e.Crashes)+len(e.Sound) > 0
+	e = &Evidence{Crashes: t.shareCrashes(now), Sound: t.shareSound(now), Alive: t.shareAlive(now)}
+	urgent = len(e.Crashes)+len(e.Sound)+len(e.Alive) > 0
 	e.Holds = t.shareHolds(now, rank, &urgent)
 	if t.log.expire(now) {
 		t.updateExplained()
 	}
-	t.active.Store(len(t.log.crashes)+len(t.holds)+len(t.announced) > 0)
+	t.active.Store(len(t.log.crashes)+len(t.holds)+len(t.announced)+len(t.alive) > 0)
 	if !urgent && len(e.Holds) == 0 {
 		return nil, false
 	}
@@ -157,7 +166,7 @@
 
 // Apply takes the evidence that a peer has reported.
 func (t *Table) Apply(e *Evidence) {
-	if len(e.Crashes) > maxSharedCrashes || len(e.Sound) > maxSharedSound || len(e.Holds) > maxSharedHolds {
+	if len(e.Crashes) > maxSharedCrashes || len(e.Sound) > maxSharedSound || len(e.Holds) > maxSharedHolds || len(e.Alive) > maxSharedAlive {
 		return
 	}
 	t.mu.Lock()
@@ -170,6 +179,11 @@
 			t.heardSound(s.Part, at)
 		}
 	}
+	for _, a := range e.Alive {
+		if sent, ok := before(now, a.SentAge); ok {
+			t.heardAlive(a.Endpoint, sent)
+		}
+	}
 	for _, c := range e.Crashes {
 		sent, sentOK := before(now, c.SentAge)
 		failed, failedOK := before(now, c.FailedAge)
--- a/serving/quarantine/table.go
+++ b/serving/quarantine/table.go
@@ -64,6 +64,8 @@
 	// explained holds the endpoints whose crash a hold explains.
 	explained map[EndpointHash]bool
 	announced map[PartID]*announcement
+	// alive holds the endpoints that answered after runs had broken off there.
+	alive map[EndpointHash]*alive
 }
 
 // Option configures a Table.
@@ -93,6 +95,7 @@
 		sound:     newSoundParts(),
 		explained: map[EndpointHash]bool{},
 		announced: map[PartID]*announcement{},
+		alive:     map[EndpointHash]*alive{},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -239,7 +242,7 @@
 
 // addCrash adds a crash to the evidence and puts into quarantine what has enough evidence against it.
 func (t *Table) addCrash(c *crash) {
-	if !t.log.add(c) {
+	if t.wasAlive(c) || !t.log.add(c) {
 		return
 	}
 	t.explain(c)
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -121,6 +121,7 @@
 
 // recordSuccess clears the failures recorded for an endpoint and its failure domain, as the endpoint has answered.
 func (j *job) recordSuccess(e *roster.Endpoint) {
+	j.relay.quarantine.Answered(e.Entry().Key, j.exchange.began)
 	if e.MarkWorking() {
 		j.observe("EndpointRecovered", e, 0, "the endpoint answered again after failures", nil)
 	}
