Let a new hold of the quarantine take the place of an old one

An instance could stop for good: with 64 holds that all last longer than a new one (peers' reports can bring them), the new one was dropped as the one that ends first, reported as added, and found again without end, under the lock that requests need.

A new hold now takes the place of the one that ends first. The proofs that endpoints live, which peers report, are bounded too. TestNewHoldTakesThePlaceOfAnOldOne times out without the change and passes with it.

--- a/serving/quarantine/alive.go
+++ b/serving/quarantine/alive.go
@@ -7,6 +7,9 @@
 	"cowslipshunt.example/serving/roster"
 )
 
+// maxAlive bounds the proofs that are kept of peers.
+const maxAlive = 1024
+
 // alive is the proof that an endpoint has not crashed: it answered a run that was sent at a time.
 type alive struct {
 	sent   time.Time
@@ -30,7 +33,7 @@
 
 // heardAlive takes a peer's proof that an endpoint has not crashed.
 func (t *Table) heardAlive(e EndpointHash, sent time.Time) {
-	if known, ok := t.alive[e]; !ok || sent.After(known.sent) {
+	if known, ok := t.alive[e]; ok && sent.After(known.sent) || !ok && len(t.alive) < maxAlive {
 		t.alive[e] = &alive{sent: sent}
 	}
 	if t.log.dropBefore(e, sent) {
--- a/serving/quarantine/hold.go
+++ b/serving/quarantine/hold.go
@@ -17,7 +17,7 @@
 	probeStagger = 10 * time.Second
 	// probeTimeout is how long a probe without a result keeps others from being let through.
 	probeTimeout = 30 * time.Second
-	// maxHolds bounds the holds; the one that ends first is dropped.
+	// maxHolds bounds the holds; a new one takes the place of the one that ends first.
 	maxHolds = 64
 	// minRetryAfter is the shortest time after which a rejected client should return.
 	minRetryAfter = time.Second
@@ -88,10 +88,11 @@
 		}
 	}
 	t.holds = slices.DeleteFunc(t.holds, func(known *hold) bool { return containsAll(known.parts, h.parts) })
-	t.holds = append(t.holds, h)
-	if len(t.holds) > maxHolds {
-		t.holds = slices.DeleteFunc(t.holds, func(known *hold) bool { return known == t.earliest() })
+	if len(t.holds) >= maxHolds {
+		earliest := t.earliest()
+		t.holds = slices.DeleteFunc(t.holds, func(known *hold) bool { return known == earliest })
 	}
+	t.holds = append(t.holds, h)
 	t.updateExplained()
 	return true
 }
--- a/serving/quarantine/hold_test.go
+++ b/serving/quarantine/hold_test.go
@@ -222,3 +222,24 @@
 		t.Errorf("a request makes %v allocations", n)
 	}
 }
+
+// TestNewHoldTakesThePlaceOfAnOldOne guards against an instance that stops for good: with as many holds as are kept, all of which last longer
+// than a new one, the new one was dropped and found again without end.
+func TestNewHoldTakesThePlaceOfAnOldOne(t *testing.T) {
+	const maxHolds = 64
+	clock := clockwork.NewFakeClock()
+	table := quarantine.New(clock)
+	for i := range maxHolds {
+		table.Apply(&quarantine.Evidence{Holds: []quarantine.Hold{{Parts: []quarantine.PartID{quarantine.PartID(i + 1)}, Left: time.Hour.Milliseconds(), Level: 6}}})
+	}
+	deadly := promptOf(1, "deadly")
+	for i := range 4 {
+		sent := clock.Now()
+		clock.Advance(400 * time.Millisecond)
+		table.Crashed(roster.Key{ID: wire.EndpointId(fmt.Sprint("e", i)), Born: 1}, &deadly, sent)
+		table.Next()
+	}
+	if _, admitted := table.Admit("r", &deadly); admitted {
+		t.Error("the part that crashed four endpoints is not held")
+	}
+}
