Do not spend a paid send on a prefill

A request of a silent endpoint was taken from it for the one send that the retry budget allowed, and then refused: its long prompt was prefilled again first, which used that send up. Found in review.

While a send is paid for, the decode engine reads the prompt itself. TestPaidSendIsNotSpentOnPrefill fails without the change (refused, one run, two prefills) and passes with it.

--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -18,7 +18,7 @@
 // chooseEngine returns the decode engine for the next send, or nil if none is available or the context has ended. A long prompt is
 // prefilled by a prefill engine first, unless a KV cache is or was already held or a stream is being resumed.
 func (j *job) chooseEngine(ctx context.Context) *roster.Endpoint {
-	if j.request.Prompt.Tokens <= maxDecodePrefillTokens || j.lastEvent != "" || j.source != nil || j.sourceLost {
+	if j.request.Prompt.Tokens <= maxDecodePrefillTokens || j.lastEvent != "" || j.source != nil || j.sourceLost || j.sendIsPaid {
 		return j.chooseDecode()
 	}
 	for range maxPrefillAttempts {
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -152,3 +152,22 @@
 		}
 	}
 }
+
+// TestPaidSendIsNotSpentOnPrefill guards against requests that are taken from a silent endpoint and then refused: the one send that the
+// budget allowed was spent on another prefill.
+func TestPaidSendIsNotSpentOnPrefill(t *testing.T) {
+	runs := 0
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		if runs++; runs == 1 {
+			return hangs
+		}
+		return succeeds
+	})
+	h.relay.SetBudget(0, 1)
+	if c := h.request(t, "/resume/"); !c.ended || h.sender.runs != 2 || h.sender.prefilled != 1 {
+		t.Errorf("ended %v, refused %v, after %d runs and %d prefills", c.ended, c.refusal, h.sender.runs, h.sender.prefilled)
+	}
+}
