Keep a request at its endpoint while its prompt is held

A request at a silent endpoint, or one answered with a server error, was taken from there to be sent elsewhere although its prompt had been put into quarantine meanwhile; it was then refused, and the answer of its endpoint lost.

Time limits and retries now ask the quarantine too, without letting a probe through. TestSilentRequestIsKeptWhileItsPromptIsHeld fails without the change and passes with it.

--- a/serving/quarantine/table.go
+++ b/serving/quarantine/table.go
@@ -128,6 +128,17 @@
 	return 0, true
 }
 
+// Holds reports whether a prompt is in quarantine. Unlike Admit it lets no probe through.
+func (t *Table) Holds(p *placement.Prompt) bool {
+	if t.held.Load() == 0 || len(p.Parts) < 2 {
+		return false
+	}
+	parts := partIDs(p)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holdOf(parts) != nil
+}
+
 // Crashed records that a run broke off before its endpoint had answered. It reports whether the prompt is suspected of crashing endpoints,
 // so that the request should not be sent again: it has a part that no run is known to have completed with, and that broke off at
 // another endpoint before.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -150,10 +150,10 @@
 	return true
 }
 
-// canRetryElsewhere reports whether an endpoint other than e is available and the retry budget allows another send. It takes
-// nothing from the budget; allowSend does that just before the send.
+// canRetryElsewhere reports whether an endpoint other than e is available, the retry budget allows another send and the prompt is not in
+// quarantine. It takes nothing from the budget; allowSend does that just before the send.
 func (j *job) canRetryElsewhere(e *roster.Endpoint) bool {
-	return len(j.endpoints(j.needElsewhere(e))) > 0 && j.budget.CanRetry(j.relay.clock.Now())
+	return !j.relay.quarantine.Holds(&j.request.Prompt) && len(j.endpoints(j.needElsewhere(e))) > 0 && j.budget.CanRetry(j.relay.clock.Now())
 }
 
 // needElsewhere returns the requirements on an endpoint of the same stage other than e.
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/relay"
+	"github.com/jonboulle/clockwork"
 )
 
 // TestSilentStreamIsKeptWithoutBudgetToMove guards against streams that are cut although they cannot go on elsewhere: a sound endpoint
@@ -171,3 +173,24 @@
 		t.Errorf("ended %v, refused %v, after %d runs and %d prefills", c.ended, c.refusal, h.sender.runs, h.sender.prefilled)
 	}
 }
+
+// TestSilentRequestIsKeptWhileItsPromptIsHeld guards against the same when the prompt is put into quarantine meanwhile: what runs already may
+// still be answered.
+func TestSilentRequestIsKeptWhileItsPromptIsHeld(t *testing.T) {
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		return answersLate
+	})
+	q := quarantine.New(clockwork.NewRealClock())
+	h.relay = relay.New(h.directory, h.sender, h.recorder, h.recorder, clockwork.NewRealClock(), "a",
+		relay.BudgetBounds{Window: 10 * time.Second, Ratio: budgetRatio, Slack: 100}, relay.WithQuarantine(q))
+	h.relay.SetTable(table(1))
+	h.sender.onSilence = func() {
+		q.Apply(&quarantine.Evidence{Holds: []quarantine.Hold{{Parts: []quarantine.PartID{quarantine.NewPartID("a")}, Left: time.Minute.Milliseconds()}}})
+	}
+	if c := h.request(t, "/again/"); c.refusal != nil || c.status != 200 || h.sender.runs != 1 {
+		t.Errorf("refused %v, status %d, after %d runs", c.refusal, c.status, h.sender.runs)
+	}
+}
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -150,6 +150,10 @@
 // function must not be called once the request has left e.
 func (j *job) mayMove(e *roster.Endpoint) func() bool {
 	return func() bool {
+		if j.relay.quarantine.Holds(&j.request.Prompt) {
+			j.observeWait(e, "the endpoint is silent, and "+quarantineReason)
+			return false
+		}
 		if len(j.endpoints(j.needElsewhere(e))) == 0 {
 			j.observeWait(e, "the endpoint is silent, and no other endpoint is open")
 			return false
