Keep the retry of a send that was withdrawn

A request whose retry was withdrawn before it was written, as its endpoint had just said that it leaves or wants a pause, was refused with 'the retry budget is spent' although other endpoints were open: the retry that it took was lost.

It now pays for the next send. TestWithdrawnSendKeepsItsRetry fails without the change and passes with it.

--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -34,6 +34,8 @@
 	sent, possibleRuns int
 	// sendIsPaid is set while the next send has already been taken from the retry budget.
 	sendIsPaid bool
+	// tookRetry is set if the send allowed last was taken from the retry budget.
+	tookRetry bool
 	// metered is set once the request is metered.
 	metered bool
 	// excluded holds the endpoints that failed or rejected the request.
@@ -151,9 +153,10 @@
 // further one is taken from the retry budget.
 func (j *job) allowSend() bool {
 	if j.sendIsPaid {
-		j.sendIsPaid = false
+		j.sendIsPaid, j.tookRetry = false, true
 		return true
 	}
+	j.tookRetry = j.sent > 0
 	return j.sent == 0 || j.budget.TakeRetry(j.relay.clock.Now())
 }
 
--- a/serving/relay/leaving_test.go
+++ b/serving/relay/leaving_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// TestWithdrawnSendKeepsItsRetry guards against requests that are refused for lack of retry budget although the retry that they took was not
+// sent.
+func TestWithdrawnSendKeepsItsRetry(t *testing.T) {
+	sends := 0
+	s := &gatedSender{connect: func(e *roster.Endpoint, _ *relay.Attempt) {
+		if sends++; sends == 2 {
+			e.MarkLeaving()
+		}
+	}}
+	h := newGatedHarness(s)
+	s.answer = func(e *roster.Endpoint, a *relay.Attempt) *relay.Answer {
+		if len(s.writes) == 1 {
+			h.relay.SetBudget(0, 1)
+			return &relay.Answer{Status: 503, NotRun: true, Body: &body{}}
+		}
+		return success(e, a)
+	}
+	if c := h.ask(t, "/again/"); c.refusal != nil || c.status != 200 || sends != 3 {
+		t.Errorf("refused with %+v after %d sends", c.refusal, sends)
+	}
+}
+
 // TestPrefillAtALeavingEndpointIsUsed guards against prompts that are read twice because the engine that read them is leaving: the request
 // ran there before the engine said so.
 func TestPrefillAtALeavingEndpointIsUsed(t *testing.T) {
--- a/serving/relay/notice.go
+++ b/serving/relay/notice.go
@@ -129,6 +129,8 @@
 // separate prefill would be a retry.
 func (j *job) recordWithdrawal(e *roster.Endpoint, err *WithdrawnError) {
 	j.exchange.end(j.relay.clock.Now(), err)
+	// Nothing was sent, so the retry that this send took pays for the next one.
+	j.sendIsPaid = j.tookRetry
 	if err.Source {
 		j.source, j.sourceLost = nil, true
 		j.observe("Withdrawn", e, 0, "the KV cache cannot be fetched; the decode engine prefills the prompt", err)
