Send evidence in its own datagram if it does not fit

An instance whose evidence on crashing prompt parts, leaving and paused endpoints together exceeded a datagram sent nothing at all: a report without loads cannot be shortened. Its peers then counted it as gone.

Evidence that does not fit beside a report now goes first, in a datagram of its own. TestEvidenceBesideFullReportIsSent times out without the change and passes with it; the largest evidence of TestFullEvidenceFitsIntoDatagram is now made in one place.

--- a/router/peers.go
+++ b/router/peers.go
@@ -242,8 +242,8 @@
 	p.broadcast(report, evidence, addresses)
 }
 
-// broadcast sends a report to all peers. A report that does not fit into a datagram is shortened until it does. One that does not
-// fit although it has neither sent parts nor loads left is logged and not sent.
+// broadcast sends a report to all peers. Evidence that does not fit into a datagram beside it is sent in one of its own; a report that does
+// not fit is shortened until it does. One that does not fit although it has neither sent parts nor loads left is logged and not sent.
 func (p *peers) broadcast(report peerload.Report, evidence *quarantine.Evidence, addresses []string) {
 	m := message{Report: &report, Leaving: report.Leaving, Evidence: evidence}
 	if f := p.tableFollowers(); f != nil {
@@ -260,6 +260,11 @@
 			p.transmit(data, addresses)
 			return
 		}
+		if m.Evidence != nil {
+			p.broadcastEvidence(m.Evidence, addresses)
+			m.Evidence = nil
+			continue
+		}
 		if len(report.Sent)+len(report.Loads) == 0 {
 			p.logger.Error().Int("Bytes", len(data)).Msg("PeerReportNotSent")
 			return
@@ -269,6 +274,16 @@
 	}
 }
 
+// broadcastEvidence sends evidence to all peers in a datagram of its own.
+func (p *peers) broadcastEvidence(e *quarantine.Evidence, addresses []string) {
+	data, err := cbor.Marshal(message{Evidence: e})
+	if err != nil || len(data) > maxDatagramBytes {
+		p.logger.Error().Int("Bytes", len(data)).Err(err).Msg("EvidenceNotSent")
+		return
+	}
+	p.transmit(data, addresses)
+}
+
 // transmit sends one datagram to each address. Errors are logged or counted; the datagram is not sent again.
 func (p *peers) transmit(data []byte, addresses []string) {
 	for _, address := range addresses {
--- a/router/quarantine_test.go
+++ b/router/quarantine_test.go
@@ -14,11 +14,16 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
+	"cowslipshunt.example/serving/placement"
 	"cowslipshunt.example/serving/quarantine"
+	"cowslipshunt.example/serving/roster"
+	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/wire"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
 )
 
 // Bounds of the requests with a part that crashes endpoints: lateSends may reach endpoints later than contactTime after the crash with the
@@ -153,9 +158,12 @@
 	}
 }
 
-// TestFullEvidenceFitsIntoDatagram guards against evidence that keeps an instance's reports from being sent.
-func TestFullEvidenceFitsIntoDatagram(t *testing.T) {
-	const crashes, sound, holds, alive, partsOfAll, paused = 6, 16, 8, 8, 24, 16
+// fullHolds is the number of holds in fullEvidence.
+const fullHolds = 8
+
+// fullEvidence returns as much evidence as a report has at most.
+func fullEvidence() *quarantine.Evidence {
+	const crashes, sound, alive, partsOfAll = 6, 16, 8, 24
 	age := (24 * time.Hour).Milliseconds()
 	parts := func(n int) []quarantine.PartID {
 		return slices.Repeat([]quarantine.PartID{math.MaxUint64}, n)
@@ -167,12 +175,19 @@
 	for range sound {
 		e.Sound = append(e.Sound, quarantine.Sound{Part: math.MaxUint64, Age: age})
 	}
-	for range holds {
-		e.Holds = append(e.Holds, quarantine.Hold{Parts: parts(partsOfAll / holds), FirstAge: age, Left: -age, Level: 6})
+	for range fullHolds {
+		e.Holds = append(e.Holds, quarantine.Hold{Parts: parts(partsOfAll / fullHolds), FirstAge: age, Left: -age, Level: 6})
 	}
 	for range alive {
 		e.Alive = append(e.Alive, quarantine.Alive{Endpoint: math.MaxUint64, SentAge: age})
 	}
+	return e
+}
+
+// TestFullEvidenceFitsIntoDatagram guards against evidence that keeps an instance's reports from being sent.
+func TestFullEvidenceFitsIntoDatagram(t *testing.T) {
+	const paused = 16
+	e := fullEvidence()
 	report := &peerload.Report{From: "front-gt-central-a-100", Incarnation: wire.IncarnationId(uuid.NewString()), Sequence: math.MaxUint32,
 		Address: "10.100.100.100:65535", Domain: "gt-central-a", Paused: slices.Repeat([]wire.EndpointId{"i-0123456789"}, paused)}
 	data, err := cbor.Marshal(message{Report: report, Evidence: e, Applied: &appliedVersions{Configuration: math.MaxUint32, Endpoints: math.MaxUint32}})
@@ -183,7 +198,37 @@
 		t.Errorf("the datagram has %d bytes", len(data))
 	}
 	var m message
-	if err := cbor.Unmarshal(data, &m); err != nil || len(m.Evidence.Holds) != holds {
+	if err := cbor.Unmarshal(data, &m); err != nil || len(m.Evidence.Holds) != fullHolds {
 		t.Errorf("the datagram is decoded as %+v, %v", m.Evidence, err)
 	}
 }
+
+// TestEvidenceBesideFullReportIsSent guards against an instance whose peers hear nothing of it: evidence, leaving and paused endpoints
+// together exceed a datagram, and a report without loads cannot be shortened.
+func TestEvidenceBesideFullReportIsSent(t *testing.T) {
+	const leaving, paused = 16, 16
+	d := roster.NewDirectory()
+	table := peerload.NewTable("receiver", d)
+	evidence := quarantine.New(clockwork.NewRealClock())
+	address := fmt.Sprintf("127.0.0.1:%d", freePort(t))
+	receiver, err := newPeers(lease.Identity{Instance: "receiver", Incarnation: "1"}, address, peerload.NewReporter("receiver", "1", address, "a", d), table,
+		evidence, metering.NewHandoffs("1"), time.Now, newLogger(io.Discard, "error", "receiver"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.close()
+	sender := newTestPeers(t)
+	report := peerload.Report{From: "sender", Incarnation: wire.IncarnationId(uuid.NewString()), Address: "10.100.100.100:65535", Domain: "gt-central-a",
+		Paused: slices.Repeat([]wire.EndpointId{"i-0123456789"}, paused)}
+	for i := range leaving {
+		report.Leaving = append(report.Leaving, peerload.Departure{Endpoint: wire.EndpointId(fmt.Sprintf("i-01234567%02d", i)), Born: math.MaxInt64})
+	}
+	held := placement.NewPrompt(2, 1, []placement.Part{{Name: "deadly", Tokens: 1}, {Name: "own", Tokens: 1}})
+	full := fullEvidence()
+	full.Holds[0] = quarantine.Hold{Parts: []quarantine.PartID{quarantine.NewPartID("deadly")}, Left: time.Hour.Milliseconds()}
+	waitFor(t, "the report and the evidence", func() bool {
+		report.Sequence++
+		sender.broadcast(report, full, []string{address})
+		return len(table.Peers()) == 1 && evidence.Holds(&held)
+	})
+}
