Report all holds of the quarantine in turn

With more holds than a report has room for, the last ones were never reported, and instances that started later sent their requests. Found in review. New and changed holds now go first, the others in turn. TestAllHoldsAreReported fails without the change (8 of 12 holds) and passes with it.

--- a/serving/quarantine/hold_test.go
+++ b/serving/quarantine/hold_test.go
@@ -243,3 +243,25 @@
 		t.Error("the part that crashed four endpoints is not held")
 	}
 }
+
+// TestAllHoldsAreReported guards against holds that an instance that starts later never learns, as there are more than a report has room for.
+func TestAllHoldsAreReported(t *testing.T) {
+	const holds, reports = 12, 20
+	clock := clockwork.NewFakeClock()
+	table := quarantine.New(clock)
+	for i := range holds {
+		table.Apply(&quarantine.Evidence{Holds: []quarantine.Hold{{Parts: []quarantine.PartID{quarantine.PartID(i + 1)}, Left: time.Hour.Milliseconds()}}})
+	}
+	seen := map[quarantine.PartID]bool{}
+	for range reports {
+		clock.Advance(time.Second)
+		if e, _ := table.Next(); e != nil {
+			for _, h := range e.Holds {
+				seen[h.Parts[0]] = true
+			}
+		}
+	}
+	if len(seen) != holds {
+		t.Errorf("%d of %d holds are in %d reports", len(seen), holds, reports)
+	}
+}
--- a/serving/quarantine/share.go
+++ b/serving/quarantine/share.go
@@ -145,9 +145,11 @@
 	}
 }
 
+// shareHolds returns the holds to report: those that are new or have changed first, the others in turn.
 func (t *Table) shareHolds(now time.Time, rank int, urgent *bool) []Hold {
 	var list []Hold
 	parts := 0
+	slices.SortStableFunc(t.holds, func(a, b *hold) int { return cmp.Compare(b.shares, a.shares) })
 	for _, h := range t.holds {
 		if h.shares == 0 && rank >= steadySharers {
 			continue
@@ -161,6 +163,7 @@
 		}
 		list = append(list, Hold{Parts: slices.Clone(h.parts), FirstAge: now.Sub(h.first).Milliseconds(), Left: h.until.Sub(now).Milliseconds(), Level: h.level})
 	}
+	t.holds = append(t.holds[len(list):], t.holds[:len(list)]...)
 	return list
 }
 
