Let endpoints of the quarantine's model answer

The property tests never told the table that an endpoint answers, so that the rule on living endpoints was outside them. The model now does when a run begins.

--- a/serving/quarantine/fleet_test.go
+++ b/serving/quarantine/fleet_test.go
@@ -116,6 +116,11 @@
 			f.crash(e)
 			continue
 		}
+		for _, r := range e.runs {
+			if r.begins == f.now {
+				f.instances[r.instance].Answered(e.key, r.sent)
+			}
+		}
 		e.runs = slices.DeleteFunc(e.runs, func(r *run) bool {
 			if r.ends > f.now {
 				return false
