Keep silent streams that cannot be resumed for lack of an id

A stream of a resumable route whose last event has no id was taken from a silent endpoint and then aborted, as no endpoint can go on after such an event. TestSilentStreamWithoutIDsIsKept fails without the change ('aborted true, after 1 runs') and passes with it.

--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -52,6 +52,8 @@
 	fallsSilent
 	// stopsWhenCancelled runs the request and sends its events without a pause until the sender cancels.
 	stopsWhenCancelled
+	// sendsUnnumbered is like fallsSilent, but its events have no ids.
+	sendsUnnumbered
 	// answersLate runs the request, is silent for silence, and answers.
 	answersLate
 	// beginsWithComment runs the request, sends a comment, nothing for silence, and then all events.
@@ -140,7 +142,7 @@
 		}
 		first = last + 1
 	}
-	return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, silent: b == fallsSilent || b == beginsWithComment, stopsWhenCancelled: b == stopsWhenCancelled, commentFirst: b == beginsWithComment, silentAtOnce: b == beginsWithComment, onSilence: f.onSilence, ctx: ctx}}, nil
+	return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {string(e.Entry().ID)}}, Body: &body{text: "whole", next: first, breaksOff: b == breaksOff, stalls: b == stalls, comments: b == sendsComments, slow: b == sendsSlowly, silent: b == fallsSilent || b == beginsWithComment || b == sendsUnnumbered, unnumbered: b == sendsUnnumbered, stopsWhenCancelled: b == stopsWhenCancelled, commentFirst: b == beginsWithComment, silentAtOnce: b == beginsWithComment, onSilence: f.onSilence, ctx: ctx}}, nil
 }
 
 func (f *fakeSender) Prefilled(a *relay.Answer) (string, error) {
@@ -163,6 +165,8 @@
 	// commentFirst is set until a comment was sent in place of the first events.
 	commentFirst       bool
 	stopsWhenCancelled bool
+	// unnumbered is set if the events have no ids.
+	unnumbered bool
 	// silentAtOnce is set if the endpoint is silent before the first event.
 	silentAtOnce bool
 	onSilence    func()
@@ -213,6 +217,9 @@
 	}
 	id := strconv.Itoa(b.next)
 	b.next++
+	if b.unnumbered {
+		return relay.Event{Bytes: []byte("data: " + id + "\n\n"), HasData: true}, nil
+	}
 	return relay.Event{Bytes: []byte("id: " + id + "\n\n"), ID: id, HasData: true}, nil
 }
 
--- a/serving/relay/silence_test.go
+++ b/serving/relay/silence_test.go
@@ -194,3 +194,17 @@
 		t.Errorf("refused %v, status %d, after %d runs", c.refusal, c.status, h.sender.runs)
 	}
 }
+
+// TestSilentStreamWithoutIDsIsKept guards against the same when the last event has no id, after which no endpoint could resume the stream.
+func TestSilentStreamWithoutIDsIsKept(t *testing.T) {
+	h := newHarness(func(a *relay.Attempt) behaviour {
+		if a.PrefillOnly {
+			return succeeds
+		}
+		return sendsUnnumbered
+	})
+	h.sender.onSilence = func() {}
+	if c := h.request(t, "/resume/"); !c.ended || c.aborted || h.sender.runs != 1 {
+		t.Errorf("got %q, ended %v, aborted %v, after %d runs", c.events, c.ended, c.aborted, h.sender.runs)
+	}
+}
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -150,6 +150,10 @@
 // function must not be called once the request has left e.
 func (j *job) mayMove(e *roster.Endpoint) func() bool {
 	return func() bool {
+		if j.sequence.unnumbered {
+			j.observeWait(e, "the endpoint is silent, and the last event has no id to resume the stream from")
+			return false
+		}
 		if j.relay.quarantine.Holds(&j.request.Prompt) {
 			j.observeWait(e, "the endpoint is silent, and "+quarantineReason)
 			return false
