--- a/router/logger.go
+++ b/router/logger.go
@@ -78,6 +78,9 @@
 // Decided logs and counts one decision on a request.
 func (d decisionLog) Decided(decision relay.Decision) {
 	metrics.GetOrCreateCounter(`router_decisions_total{step="` + decision.Step + `"}`).Inc()
+	if decision.Step == relay.StepAborted || decision.Step == relay.StepRefused {
+		metrics.GetOrCreateCounter(`router_requests_unanswered_total{step="` + decision.Step + `",reason="` + decision.Reason + `"}`).Inc()
+	}
 	entry := d.logger.Info().
 		Str("Request", string(decision.Request)).
 		Str("Route", decision.Route).
@@ -102,6 +105,9 @@
 	if len(decision.Parts) > 0 {
 		entry = entry.Int("Events", decision.Events).Strs("Parts", decision.Parts)
 	}
+	if decision.Budget != nil {
+		entry = entry.Int("Retries", decision.Budget.Retries).Float64("RetriesAllowed", decision.Budget.Allowed)
+	}
 	if decision.Reason != "" {
 		entry = entry.Str("Reason", decision.Reason)
 	}
--- a/serving/relay/decision.go
+++ b/serving/relay/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"cowslipshunt.example/serving/roster"
 )
@@ -39,6 +40,15 @@
 	j.relay.observer.Decided(d)
 }
 
+// budgetUsage returns the state of the retry budget of the request's service, or nil if the reason of a decision is not the budget.
+func (j *job) budgetUsage(reason string) *BudgetUsage {
+	if j.budget == nil || !strings.HasSuffix(reason, budgetReason) {
+		return nil
+	}
+	retries, allowed := j.budget.Usage(j.relay.clock.Now())
+	return &BudgetUsage{Retries: retries, Allowed: allowed}
+}
+
 // decision returns a decision on the request that concerns no endpoint.
 func (j *job) decision(step, reason string, err error) Decision {
 	now := j.relay.clock.Now()
@@ -49,6 +59,7 @@
 		Version:   j.version,
 		Attempt:   j.sent,
 		Age:       now.Sub(j.request.Arrived),
+		Budget:    j.budgetUsage(reason),
 		Reason:    reason,
 		Err:       err,
 	}
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -205,7 +205,7 @@
 
 // refuse ends the request without an endpoint's answer.
 func (j *job) refuse(r Refusal) {
-	j.observe("Refused", nil, 0, r.Verdict.String()+": "+r.Reason, nil)
+	j.observe(StepRefused, nil, 0, r.Verdict.String()+": "+r.Reason, nil)
 	j.caller.Refuse(r)
 }
 
@@ -215,7 +215,7 @@
 	j.freeSource()
 	switch {
 	case j.streaming:
-		j.observeEnd(ctx, "Aborted", reason)
+		j.observeEnd(ctx, StepAborted, reason)
 		j.caller.Abort()
 	case j.possibleRuns == 0:
 		j.refuseEnded(ctx, Refusal{Verdict: NotRun, Reason: reason, RetryAfter: j.retryAfter(ctx)})
@@ -242,7 +242,7 @@
 
 // refuseEnded refuses a request for which an endpoint may have been working.
 func (j *job) refuseEnded(ctx context.Context, r Refusal) {
-	j.observeEnd(ctx, "Refused", r.Verdict.String()+": "+r.Reason)
+	j.observeEnd(ctx, StepRefused, r.Verdict.String()+": "+r.Reason)
 	j.caller.Refuse(r)
 }
 
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -34,6 +34,12 @@
 	EndpointNoticed(n Notice)
 }
 
+// The steps that end a request without an endpoint's complete answer.
+const (
+	StepAborted = "Aborted"
+	StepRefused = "Refused"
+)
+
 // Decision is one decision on a request with the data that it was based on.
 type Decision struct {
 	Request wire.RequestId
@@ -62,10 +68,19 @@
 	// only for a send that failed after the endpoint may have received it.
 	Events int
 	Parts  []string
+	// Budget is set if the decision depended on the retry budget of the request's service.
+	Budget *BudgetUsage
 	Reason string
 	Err    error
 }
 
+// BudgetUsage is the state of a retry budget when a decision was taken.
+type BudgetUsage struct {
+	// Retries were taken in the window; Allowed is how many it allows.
+	Retries int
+	Allowed float64
+}
+
 // BudgetBounds are the bounds of the retry budget of each service.
 type BudgetBounds struct {
 	// Window is the length of the sliding window in which requests and retries are counted.
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -10,6 +10,9 @@
 	"cowslipshunt.example/serving/route"
 )
 
+// budgetReason is why a request is not sent again, or not taken from a silent endpoint, if the retry budget allows no send.
+const budgetReason = "the retry budget is spent"
+
 // run sends the request to one endpoint after another until the caller has an answer or no further send is possible.
 func (j *job) run(ctx context.Context) {
 	for {
@@ -36,7 +39,7 @@
 			return
 		}
 		if !j.allowSend() {
-			j.fail(ctx, "the retry budget is spent")
+			j.fail(ctx, budgetReason)
 			return
 		}
 		if j.sendTo(ctx, e) {
@@ -187,7 +190,7 @@
 		}
 		j.forwardHead(e, a)
 		if err := j.caller.Event(event.Bytes); err != nil {
-			j.observe("Aborted", e, a.Status, "writing an event to the client failed", err)
+			j.observe(StepAborted, e, a.Status, "writing an event to the client failed", err)
 			j.caller.Abort()
 			return true
 		}
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -163,7 +163,7 @@
 			return false
 		}
 		if !j.budget.TakeRetry(j.relay.clock.Now()) {
-			j.observeWait(e, "the endpoint is silent, and the retry budget is spent")
+			j.observeWait(e, "the endpoint is silent, and "+budgetReason)
 			return false
 		}
 		j.sendIsPaid = true
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -82,14 +82,28 @@
 	return b.allows()
 }
 
+// Usage returns how many retries the window holds and how many it allows. It takes nothing from the budget.
+func (b *Budget) Usage(now time.Time) (retries int, allowed float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.usage()
+}
+
 // allows reports whether one more retry is within the bound. The caller must hold the lock.
 func (b *Budget) allows() bool {
-	requests, retries := 0, 0
+	retries, allowed := b.usage()
+	return float64(retries+1) <= allowed
+}
+
+// usage returns what Usage does. The caller must hold the lock.
+func (b *Budget) usage() (retries int, allowed float64) {
+	requests := 0
 	for i := range requestBuckets {
 		requests += b.requests[(b.current+buckets-int64(i))%buckets]
 	}
 	for _, n := range b.retries {
 		retries += n
 	}
-	return float64(retries+1) <= b.ratio*float64(requests)+b.slack
+	return retries, b.ratio*float64(requests) + b.slack
 }
