--- a/router/logger.go
+++ b/router/logger.go
@@ -135,6 +135,11 @@
 	entry.Err(n.Err).Msg(n.Step)
 }
 
+// Panicked logs and counts a panic in asking another endpoint for a request.
+func (d decisionLog) Panicked(id wire.RequestId, value any) {
+	logPanic(d.logger, "handover", string(id), value)
+}
+
 // logLeavingByPeer logs and counts that a peer has reported that an endpoint leaves.
 func (d decisionLog) logLeavingByPeer(k roster.Key, from wire.InstanceName) {
 	d.logNotice(k, "EndpointLeaving", "peer").Str("Peer", string(from)).Msg("EndpointLeaving")
--- a/serving/relay/decision.go
+++ b/serving/relay/decision.go
@@ -3,26 +3,24 @@
 import (
 	"context"
 	"strings"
-
-	"cowslipshunt.example/serving/roster"
 )
 
-// observe passes a decision on the request to the observer. The endpoint is nil if the decision concerns none.
-func (j *job) observe(step string, e *roster.Endpoint, status int, reason string, err error) {
+// observe passes a decision on the request to the observer. The exchange is nil if the decision concerns no endpoint.
+func (j *job) observe(step string, x *exchange, status int, reason string, err error) {
 	d := j.decision(step, reason, err)
 	d.Status = status
-	if e != nil {
-		j.describeEndpoint(&d, e)
+	if x != nil {
+		j.describeEndpoint(&d, x)
 	}
 	j.relay.observer.Decided(d)
 }
 
 // observeFailure passes a failed send to the observer, and whether the endpoint may have received it.
-func (j *job) observeFailure(e *roster.Endpoint, reached bool, err error) {
+func (j *job) observeFailure(x *exchange, reached bool, err error) {
 	d := j.decision("Failed", "the send failed or the answer broke off; this request avoids the endpoint", err)
-	j.describeEndpoint(&d, e)
+	j.describeEndpoint(&d, x)
 	if reached {
-		d.Events, d.Parts = j.exchange.events, j.request.Prompt.SharedNames()
+		d.Events, d.Parts = x.events, j.request.Prompt.SharedNames()
 	}
 	j.relay.observer.Decided(d)
 }
@@ -31,7 +29,7 @@
 func (j *job) observeEnd(ctx context.Context, step, reason string) {
 	d := j.decision(step, reason, context.Cause(ctx))
 	if x := j.exchange; x != nil {
-		j.describeEndpoint(&d, x.endpoint)
+		j.describeEndpoint(&d, x)
 		d.Status, d.Held = x.status, x.held(j.relay.clock.Now())
 		if d.Err == nil {
 			d.Err = x.err
@@ -72,9 +70,9 @@
 	return d
 }
 
-// describeEndpoint adds an endpoint and what was known of it to a decision.
-func (j *job) describeEndpoint(d *Decision, e *roster.Endpoint) {
-	d.Endpoint = e.Entry().ID
-	d.Waiting, d.Unread = j.queuedTokens, j.newTokens
+// describeEndpoint adds the endpoint of an exchange and what was known of it to a decision.
+func (j *job) describeEndpoint(d *Decision, x *exchange) {
+	d.Endpoint = x.endpoint.Entry().ID
+	d.Waiting, d.Unread = x.queued, x.unread
 	d.Pause, j.pause = j.pause, 0
 }
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -21,7 +21,7 @@
 	if j.request.Prompt.Tokens <= maxDecodePrefillTokens || j.lastEvent != "" || j.source != nil || j.sourceLost || j.sendIsPaid {
 		return j.chooseDecode()
 	}
-	for range maxPrefillAttempts {
+	for j.prefills = 0; j.prefills < maxPrefillAttempts; {
 		if j.withheld() {
 			return nil
 		}
@@ -31,7 +31,7 @@
 			return j.chooseDecode()
 		}
 		if j.prefill(ctx, e) {
-			return placement.ChooseDecodeNearCache(j.endpoints(j.need(roster.Decode)), &j.request.Prompt, e.Entry().Domain)
+			return placement.ChooseDecodeNearCache(j.endpoints(j.need(roster.Decode)), &j.request.Prompt, j.source.Endpoint.Entry().Domain)
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -46,44 +46,30 @@
 	return placement.ChooseDecode(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
 }
 
-// prefill has an engine prefill the prompt and reports whether the engine now holds its KV cache.
+// prefill has an engine prefill the prompt, or another one if it is silent for too long, and reports whether one of them now holds its KV cache.
 func (j *job) prefill(ctx context.Context, e *roster.Endpoint) bool {
-	release := j.countInFlight(e, j.uncachedTokens(e))
-	defer release()
-	a := j.newAttempt()
-	a.PrefillOnly = true
-	w := newWatchdog(ctx, j.relay.clock, max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)), nil)
-	defer w.close()
-	j.beginExchange(e)
-	answer, err := j.relay.sender.Send(w.ctx, e, a)
-	j.relay.noteSent(e, a, answer, sourcePrefill)
-	err = w.explain(err)
-	if j.recordUnsent(ctx, e, err) {
-		return false
-	}
-	if err != nil {
-		j.sent++
-		j.recordFailure(ctx, e, err)
-		return false
-	}
-	defer answer.Body.Close()
-	j.exchange.status = answer.Status
-	if !answer.Success() {
-		j.sent++
-		j.recordRejection(e, answer)
-		return false
+	s := j.newPrefill(ctx, e)
+	defer func() {
+		j.dropHandover()
+		s.close()
+	}()
+	s.watchdog.setLimit(max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)))
+	j.exchange = s.exchange
+	j.wait(s)
+	next := j.settle(s)
+	prefilled := j.recordReceived(ctx, s)
+	if next != nil {
+		s.close()
+		s, prefilled = next, true
+		j.exchange = s.exchange
 	}
-	handle, err := j.relay.sender.Prefilled(answer)
-	if err != nil {
-		j.sent++
-		j.recordFailure(ctx, e, w.explain(err))
+	if !prefilled {
 		return false
 	}
-	j.exchange.end(j.relay.clock.Now(), nil)
-	j.recordSuccess(e)
-	j.recordCachedParts(e)
-	j.source = &Source{Endpoint: e, Handle: handle}
-	j.observe("Prefilled", e, answer.Status, "", nil)
+	s.exchange.end(j.relay.clock.Now(), nil)
+	j.recordSuccess(s.exchange)
+	j.source = &Source{Endpoint: s.endpoint, Handle: s.handle}
+	j.observe("Prefilled", s.exchange, s.answer.Status, "", nil)
 	return true
 }
 
--- a/serving/relay/exchange.go
+++ b/serving/relay/exchange.go
@@ -15,6 +15,8 @@
 type exchange struct {
 	endpoint *roster.Endpoint
 	began    time.Time
+	// queued is how many tokens were queued for prefill at the endpoint before, unread how many this request added.
+	queued, unread int
 	// ended is when the endpoint rejected the request or failed; zero while it holds the request.
 	ended time.Time
 	// status is that of the endpoint's answer, 0 if none arrived.
@@ -52,11 +54,6 @@
 	return x.ended.Sub(x.began)
 }
 
-// beginExchange records that the request is sent to an endpoint now.
-func (j *job) beginExchange(e *roster.Endpoint) {
-	j.exchange = &exchange{endpoint: e, began: j.relay.clock.Now()}
-}
-
 // endReason returns why the context of a request ended, in words that are logged and sent to the client.
 func endReason(ctx context.Context) string {
 	switch {
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -58,6 +58,8 @@
 	answersLate
 	// beginsWithComment runs the request, sends a comment, nothing for silence, and then all events.
 	beginsWithComment
+	// panics makes the sender panic once the endpoint has received the request.
+	panics
 	// breaksOffLate is like breaksOff, but calls onSilence before the answer is cut.
 	breaksOffLate
 )
@@ -104,6 +106,8 @@
 		return &relay.Answer{Status: 200, Body: &body{text: "handle"}}, nil
 	}
 	switch b {
+	case panics:
+		panic("malformed answer")
 	case hangs:
 		<-ctx.Done()
 		return nil, net.ErrClosed
--- a/serving/relay/handover_test.go
+++ b/serving/relay/handover_test.go
@@ -16,6 +16,7 @@
 	"fails":                      fails,
 	"is busy, without a promise": answers503,
 	"does not answer":            hangs,
+	"answers with a panic":       panics,
 }
 
 // firstThen returns a fleet whose first run behaves in one way and all later ones in another. Prefills succeed.
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"cowslipshunt.example/serving/placement"
@@ -36,6 +37,8 @@
 	sendIsPaid bool
 	// tookRetry is set if the send allowed last was taken from the retry budget.
 	tookRetry bool
+	// prefills counts the engines that were asked to prefill the prompt for the next send.
+	prefills int
 	// metered is set once the request is metered.
 	metered bool
 	// excluded holds the endpoints that failed or rejected the request.
@@ -43,9 +46,6 @@
 	source   *Source
 	// sourceLost is set if a KV cache was given up because the endpoint that holds it asked for a pause.
 	sourceLost bool
-	// queuedTokens and newTokens are logged with the decisions on the endpoint chosen last: the tokens that were queued for
-	// prefill there, and those that this request added.
-	queuedTokens, newTokens int
 	// suspected is set if the request broke off at an endpoint as others with the same parts did.
 	suspected bool
 	// returnAfter is when the client should return if the prompt is in quarantine.
@@ -58,6 +58,12 @@
 	streaming bool
 	lastEvent string
 	sequence  sequence
+
+	// mu guards the job while another endpoint is asked to take the request over; see handover.
+	mu sync.Mutex
+	// handover is nil while no other endpoint is asked; handovers counts those whose goroutine has not ended.
+	handover  *handover
+	handovers sync.WaitGroup
 }
 
 // admit finds the route and workspace of a request and returns nil, or returns why the request is refused. An instance that is about to stop
@@ -130,25 +136,13 @@
 	return reachable
 }
 
-// recordSuccess clears the failures recorded for an endpoint and its failure domain, as the endpoint has answered.
-func (j *job) recordSuccess(e *roster.Endpoint) {
-	j.relay.quarantine.Answered(e.Entry().Key, j.exchange.began)
-	if e.MarkWorking() {
-		j.observe("EndpointRecovered", e, 0, "the endpoint answered again after failures", nil)
-	}
-	if j.relay.reachability.MarkReachable(e.Entry()) {
-		j.relay.observer.DomainReachable(e.Entry().Domain)
-	}
-}
-
-// newAttempt returns the attempt for the next send.
+// newAttempt returns the attempt for the next send, which runs the whole request.
 func (j *job) newAttempt() *Attempt {
 	return &Attempt{
 		Request:   j.request,
 		Workspace: j.workspace,
 		Deadline:  j.deadline,
 		Rank:      min(j.rank, 9),
-		Source:    j.source,
 		LastEvent: j.lastEvent,
 	}
 }
@@ -156,12 +150,17 @@
 // allowSend reports whether the request may be sent now. Once an earlier send counts in sent, each
 // further one is taken from the retry budget.
 func (j *job) allowSend() bool {
-	if j.sendIsPaid {
-		j.sendIsPaid, j.tookRetry = false, true
-		return true
+	j.tookRetry = false
+	return j.sent == 0 && !j.sendIsPaid || j.takeRetry()
+}
+
+// takeRetry takes a send from the retry budget, or uses one that was taken before, and reports whether there was one.
+func (j *job) takeRetry() bool {
+	if !j.sendIsPaid && !j.budget.TakeRetry(j.relay.clock.Now()) {
+		return false
 	}
-	j.tookRetry = j.sent > 0
-	return j.sent == 0 || j.budget.TakeRetry(j.relay.clock.Now())
+	j.sendIsPaid, j.tookRetry = false, true
+	return true
 }
 
 // mayRun reports whether the request may run at an endpoint. If it may have run before, its route must allow a further run, and the last
@@ -173,28 +172,6 @@
 	return j.route.Repeatable() && j.possibleRuns < j.route.MaxAttempts && !j.sequence.unnumbered
 }
 
-// recordFailure records that a send to an endpoint failed. It does nothing once the request's context has ended: the failure
-// may then be due to the cancellation and not to the endpoint.
-func (j *job) recordFailure(ctx context.Context, e *roster.Endpoint, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	j.exchange.end(j.relay.clock.Now(), err)
-	j.excluded = append(j.excluded, e.Entry().ID)
-	now := j.relay.clock.Now()
-	j.pause = e.MarkFailed(now)
-	var neverSent *NeverSentError
-	reached := !errors.As(err, &neverSent)
-	j.observeFailure(e, reached, err)
-	if reached {
-		j.recordCrash(e, err)
-		return
-	}
-	if pause := j.relay.reachability.MarkUnreachable(e.Entry(), now); pause > 0 {
-		j.relay.observer.DomainUnreachable(e.Entry().Domain, pause)
-	}
-}
-
 // meterOnce meters the request unless that has been done. It is called once the request has run or may have run.
 func (j *job) meterOnce() {
 	if !j.metered {
@@ -254,10 +231,3 @@
 		j.source = nil
 	}
 }
-
-// countInFlight counts the request and the given number of tokens to prefill as load of an endpoint until the returned function is
-// called. It records the endpoint's prefill load before that, for the log.
-func (j *job) countInFlight(e *roster.Endpoint, tokens int) func() {
-	j.queuedTokens, j.newTokens = e.PrefillLoad(), tokens
-	return e.Begin(tokens)
-}
--- a/serving/relay/notice.go
+++ b/serving/relay/notice.go
@@ -108,18 +108,18 @@
 
 // recordUnsent reports whether an error means that nothing was sent, and records it. An endpoint has failed if it could not be connected
 // to, but not if the send was withdrawn.
-func (j *job) recordUnsent(ctx context.Context, e *roster.Endpoint, err error) bool {
+func (j *job) recordUnsent(ctx context.Context, s *send, err error) bool {
 	if err == nil {
 		return false
 	}
 	var withdrawn *WithdrawnError
 	if errors.As(err, &withdrawn) {
-		j.recordWithdrawal(e, withdrawn)
+		j.recordWithdrawal(s, withdrawn)
 		return true
 	}
 	var neverSent *NeverSentError
 	if errors.As(err, &neverSent) {
-		j.recordFailure(ctx, e, err)
+		j.recordFailure(ctx, s.exchange, err)
 		return true
 	}
 	return false
@@ -127,15 +127,15 @@
 
 // recordWithdrawal records that a send was withdrawn. If the KV cache cannot be fetched, the decode engine prefills the prompt itself: another
 // separate prefill would be a retry.
-func (j *job) recordWithdrawal(e *roster.Endpoint, err *WithdrawnError) {
-	j.exchange.end(j.relay.clock.Now(), err)
+func (j *job) recordWithdrawal(s *send, err *WithdrawnError) {
+	s.exchange.end(j.relay.clock.Now(), err)
 	// Nothing was sent, so the retry that this send took pays for the next one.
-	j.sendIsPaid = j.tookRetry
+	j.sendIsPaid = s.paid
 	if err.Source {
 		j.source, j.sourceLost = nil, true
-		j.observe("Withdrawn", e, 0, "the KV cache cannot be fetched; the decode engine prefills the prompt", err)
+		j.observe("Withdrawn", s.exchange, 0, "the KV cache cannot be fetched; the decode engine prefills the prompt", err)
 		return
 	}
-	j.excluded = append(j.excluded, e.Entry().ID)
-	j.observe("Withdrawn", e, 0, "the endpoint takes no more requests; this request avoids the endpoint", err)
+	j.excluded = append(j.excluded, s.endpoint.Entry().ID)
+	j.observe("Withdrawn", s.exchange, 0, "the endpoint takes no more requests; this request avoids the endpoint", err)
 }
--- a/serving/relay/quarantine.go
+++ b/serving/relay/quarantine.go
@@ -5,8 +5,6 @@
 	"io"
 	"syscall"
 	"time"
-
-	"cowslipshunt.example/serving/roster"
 )
 
 // quarantineReason is why a request is refused whose prompt is in quarantine.
@@ -32,9 +30,9 @@
 
 // recordCrash records that a send broke off before the endpoint had answered or when its answer had just begun. The prompt may have crashed
 // the endpoint. A stream that went on for longer is no evidence, whatever ended it.
-func (j *job) recordCrash(e *roster.Endpoint, err error) {
-	if isBreakOff(err) && j.exchange.justBegun(j.relay.clock.Now(), streamStart) {
-		j.suspected = j.relay.quarantine.Crashed(e.Entry().Key, &j.request.Prompt, j.exchange.began)
+func (j *job) recordCrash(x *exchange, err error) {
+	if isBreakOff(err) && x.justBegun(j.relay.clock.Now(), streamStart) {
+		j.suspected = j.relay.quarantine.Crashed(x.endpoint.Entry().Key, &j.request.Prompt, x.began)
 	}
 }
 
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -32,6 +32,8 @@
 	DomainReachable(d wire.DomainName)
 	// EndpointNoticed is called when an endpoint has said something about itself that is new.
 	EndpointNoticed(n Notice)
+	// Panicked is called when asking another endpoint for a request has panicked, while the first one still has it.
+	Panicked(id wire.RequestId, value any)
 }
 
 // The steps that end a request without an endpoint's complete answer.
@@ -210,8 +212,11 @@
 		j.refuse(*refusal)
 		return
 	}
+	defer j.handovers.Wait()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	j.budget.CountRequest(r.clock.Now())
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.run(ctx)
 }
--- a/serving/relay/sequence.go
+++ b/serving/relay/sequence.go
@@ -45,22 +45,29 @@
 // eventReader reads the events of an answer that may go on in the caller's stream.
 type eventReader struct {
 	job  *job
-	body Body
+	send *send
 	// resumes is set if the answer resumes a stream.
 	resumes bool
 	// placed is set once it is known that the answer begins where it should.
 	placed bool
 }
 
-func (j *job) newEventReader(a *Answer) *eventReader {
-	return &eventReader{job: j, body: a.Body, resumes: j.streaming, placed: !j.streaming}
+func (j *job) newEventReader(s *send) *eventReader {
+	return &eventReader{job: j, send: s, resumes: j.streaming, placed: !j.streaming}
 }
 
-// next returns the next event, as Body.Next does. An event that may not follow the last one that was delivered is an error. What precedes the
+// receive waits for the next event, without the job's lock.
+func (r *eventReader) receive() (Event, error) {
+	r.job.beginWait(r.send)
+	defer r.job.endWait(r.send)
+	return r.send.answer.Body.Next()
+}
+
+// next waits for the next event and returns it, as Body.Next does. While it waits, the request may be handed over. An event that may not follow the last one that was delivered is an error. What precedes the
 // first event of an answer that resumes a stream is dropped, as it need not be part of that stream.
 func (r *eventReader) next() (Event, error) {
 	for {
-		event, err := r.body.Next()
+		event, err := r.receive()
 		if err != nil {
 			return Event{}, err
 		}
