--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -53,12 +53,13 @@
 		j.dropHandover()
 		s.close()
 	}()
-	s.watchdog.setLimit(max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)))
+	s.watchdog.setLimit(j.prefillTimeout(e))
 	j.exchange = s.exchange
-	j.wait(s)
-	next := j.settle(s)
+	j.wait(s, func() { j.receive(s) })
 	prefilled := j.recordReceived(ctx, s)
-	if next != nil {
+	if prefilled {
+		j.goOn(s)
+	} else if next := j.awaitHandover(); next != nil {
 		s.close()
 		s, prefilled = next, true
 		j.exchange = s.exchange
@@ -73,6 +74,11 @@
 	return true
 }
 
+// prefillTimeout returns how long to wait for a separate prefill before another endpoint is asked.
+func (j *job) prefillTimeout(e *roster.Endpoint) time.Duration {
+	return max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e))
+}
+
 // prefillEstimate returns the estimated time until an engine has prefilled the prompt, including the work queued there.
 func (j *job) prefillEstimate(e *roster.Endpoint) time.Duration {
 	return placement.PrefillTime(e, &j.request.Prompt, j.relay.clock.Now())
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -226,8 +226,19 @@
 // freeSource frees a prefilled KV cache that no decode engine has fetched.
 func (j *job) freeSource() {
 	if j.source != nil {
-		r, e, id := j.relay, j.source.Endpoint, j.request.ID
-		r.sender.Free(j.source, func(a *Answer) { r.note(e, a, sourceFree, id) })
+		j.free(j.source)
 		j.source = nil
 	}
 }
+
+// freeHandle frees the KV cache of a prefill that is not needed.
+func (j *job) freeHandle(s *send) {
+	if s.handle != "" {
+		j.free(&Source{Endpoint: s.endpoint, Handle: s.handle})
+	}
+}
+
+func (j *job) free(s *Source) {
+	r, e, id := j.relay, s.Endpoint, j.request.ID
+	r.sender.Free(s, func(a *Answer) { r.note(e, a, sourceFree, id) })
+}
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -77,6 +77,8 @@
 		}
 		s.close()
 		s = next
+		// The endpoint that has taken the request over has prefilled the prompt itself.
+		j.freeSource()
 		s.watchdog.setLimit(j.responseTimeout(s, j.possibleRuns))
 	}
 }
@@ -86,41 +88,50 @@
 func (j *job) follow(ctx context.Context, s *send) (next *send, finished bool) {
 	j.exchange = s.exchange
 	if s.answer == nil {
-		j.wait(s)
-		next = j.settle(s)
-		accepted := j.recordReceived(ctx, s)
-		if accepted && next != nil {
-			j.recordServerError(s)
-		}
-		if !accepted || next != nil {
-			return next, false
+		j.wait(s, func() { j.receive(s) })
+		if !j.recordReceived(ctx, s) {
+			return j.awaitHandover(), false
 		}
 	}
 	if s.forwardsStream(j.route, j.streaming) {
 		return j.forwardStream(ctx, s)
 	}
-	return nil, j.forwardAnswer(ctx, s)
+	return j.forwardAnswer(ctx, s)
 }
 
-// forwardAnswer passes on an answer that is not a stream and reports whether the caller's request is finished. A server error is
-// not passed on if the request can be repeated at another endpoint. If the caller has already received the head of a stream, nothing is
-// passed on, and another endpoint may resume the stream.
-func (j *job) forwardAnswer(ctx context.Context, s *send) bool {
+// forwardAnswer passes on an answer that is not a stream and returns what follow does. A server error is not passed on if the request can be
+// repeated at another endpoint. If the caller has already received the head of a stream, nothing is passed on, and another endpoint may resume
+// the stream.
+func (j *job) forwardAnswer(ctx context.Context, s *send) (next *send, finished bool) {
 	j.meterOnce()
 	if j.streaming {
 		j.rejectResumption(s)
-		return false
+		return j.awaitHandover(), false
 	}
-	s.readWhole()
+	s.watchdog.setLimit(0)
+	j.wait(s, s.readWhole)
 	if s.err != nil {
 		j.recordFailure(ctx, s.exchange, s.err)
-		return false
+		return j.awaitHandover(), false
 	}
-	status := s.answer.Status
-	if status >= 500 && j.mayRun() && j.canRetryElsewhere(s.endpoint) {
+	if s.answer.failed() {
+		if next = j.awaitHandover(); next != nil {
+			j.recordServerError(s)
+			return next, false
+		}
+	}
+	if s.answer.Status >= 500 && j.mayRun() && j.canRetryElsewhere(s.endpoint) {
 		j.recordServerError(s)
-		return false
+		return nil, false
 	}
+	j.goOn(s)
+	j.passOnAnswer(s)
+	return nil, true
+}
+
+// passOnAnswer passes a whole answer on to the caller, unless clients would take its status as a false promise.
+func (j *job) passOnAnswer(s *send) {
+	status := s.answer.Status
 	if status < 500 {
 		j.recordSuccess(s.exchange)
 	}
@@ -130,29 +141,33 @@
 	if promisesNotRun(status) {
 		j.observe("Withheld", s.exchange, status, "clients would take the status as a promise that the request has not run", nil)
 		j.refuse(Refusal{Verdict: Unknown, Reason: "the endpoint refused the request without saying whether it ran"})
-		return true
+		return
 	}
 	j.observe("Answered", s.exchange, status, "", nil)
 	j.caller.Answer(status, s.answer.Header, s.body)
-	return true
 }
 
-// forwardStream passes on the events of a stream as they arrive and reports whether the caller's request is finished. An event that may not
-// follow the last one is not passed on; the stream then counts as broken off. If another endpoint has taken the stream over, forwardStream
-// returns the send there.
+// forwardStream passes on the events of a stream as they arrive and returns what follow does. An event that may not follow the last one is not
+// passed on; the stream then counts as broken off. Once another endpoint has taken the stream over, that one goes on after the last event that
+// was passed on, and what the first one sends is dropped.
 func (j *job) forwardStream(ctx context.Context, s *send) (next *send, finished bool) {
 	events := j.newEventReader(s)
 	for {
 		event, err := events.next()
-		if next = j.settleEvent(s, &event, err); next == nil && errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) {
+			j.goOn(s)
 			return nil, j.finishStream(s)
 		}
-		if next != nil || err != nil {
+		if err == nil && j.wasHandedOver() {
+			err = errNoData
+		}
+		if err != nil {
 			j.meterOnce()
 			j.recordFailure(ctx, s.exchange, s.watchdog.explain(err))
-			return next, false
+			return j.awaitHandover(), false
 		}
 		if event.HasData {
+			j.goOn(s)
 			s.watchdog.restart(eventTimeoutPauses * j.route.MaxPause)
 			j.meterOnce()
 			s.exchange.countEvent(j.relay.clock.Now())
@@ -193,6 +208,11 @@
 	return true
 }
 
+// failed reports whether the caller is better served with another endpoint's answer.
+func (a *Answer) failed() bool {
+	return a.Status >= 500 || promisesNotRun(a.Status)
+}
+
 // promisesNotRun reports whether clients take a status as a promise that the request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -15,8 +15,9 @@
 	attempt  *Attempt
 	exchange *exchange
 	watchdog *watchdog
-	// paid is set if the send was taken from the retry budget, counted once it counts in job.possibleRuns.
-	paid, counted bool
+	// paid is set if the send was taken from the retry budget, received once what the endpoint answered is recorded, silent while the endpoint
+	// is avoided as it has sent no data for too long.
+	paid, received, silent bool
 	// release removes the request from the endpoint's load.
 	release func()
 
@@ -34,7 +35,7 @@
 	x := &exchange{endpoint: e, began: j.relay.clock.Now(), queued: e.PrefillLoad(), unread: tokens}
 	s := &send{endpoint: e, attempt: a, exchange: x, paid: j.tookRetry, release: e.Begin(tokens)}
 	s.watchdog = newWatchdog(ctx, j.relay.clock, &j.mu)
-	s.watchdog.expired = func() { j.handOver(ctx, s) }
+	s.watchdog.expired = func() { j.endpointSilent(ctx, s) }
 	return s
 }
 
@@ -66,13 +67,13 @@
 	s.release()
 }
 
-// wait waits for the endpoint's answer, with the limit of the watchdog and without the job's lock. Until it has returned, the request may be
-// handed over.
-func (j *job) wait(s *send) {
-	j.beginWait(s)
+// wait runs receive, which waits for the endpoint, with the limit of the watchdog and without the job's lock. Until it has returned, the request
+// may be handed over.
+func (j *job) wait(s *send, receive func()) {
 	func() {
+		j.beginWait(s)
 		defer j.endWait(s)
-		j.receive(s)
+		receive()
 	}()
 	s.err = s.watchdog.explain(s.err)
 }
@@ -97,8 +98,10 @@
 	if s.attempt.PrefillOnly {
 		source = sourcePrefill
 	}
-	s.answer, s.err = j.relay.sender.Send(s.watchdog.ctx, s.endpoint, s.attempt)
-	j.relay.noteSent(s.endpoint, s.attempt, s.answer, source)
+	func() {
+		defer func() { j.relay.noteSent(s.endpoint, s.attempt, s.answer, source) }()
+		s.answer, s.err = j.relay.sender.Send(s.watchdog.ctx, s.endpoint, s.attempt)
+	}()
 	if s.attempt.PrefillOnly && s.err == nil && s.answer.Success() {
 		s.handle, s.err = j.relay.sender.Prefilled(s.answer)
 	}
@@ -125,6 +128,7 @@
 // recordReceived records how the endpoint has answered, and reports whether it accepted the request or has prefilled the prompt. A send that
 // may have reached the endpoint is counted, but not a prefill that succeeded.
 func (j *job) recordReceived(ctx context.Context, s *send) bool {
+	s.received = true
 	if j.recordUnsent(ctx, s, s.err) {
 		return false
 	}
@@ -132,7 +136,6 @@
 	rejected := s.err == nil && s.rejected()
 	if runs && !rejected {
 		j.possibleRuns++
-		s.counted = true
 		j.dropSource(s)
 	}
 	if runs || rejected || s.err != nil {
@@ -177,6 +180,24 @@
 	j.observe("Rejected", s.exchange, s.answer.Status, "the endpoint did not run the request; this request avoids the endpoint", nil)
 }
 
+// rejectResumption records that an endpoint has answered the resumption of a stream with something else than a stream. Nothing of that answer
+// may reach the client; another endpoint may go on.
+func (j *job) rejectResumption(s *send) {
+	s.exchange.end(j.relay.clock.Now(), errNoStream)
+	j.excluded = append(j.excluded, s.endpoint.Entry().ID)
+	j.observe("Retried", s.exchange, s.answer.Status, "the endpoint answered the resumption with something else than a stream; trying another endpoint", nil)
+}
+
+// errNoStream is the error of an exchange that was to resume a stream and has another answer.
+var errNoStream = errors.New("the answer to a resumption is no stream")
+
+// recordServerError records that an endpoint has answered with an error that is not passed on, as another endpoint may answer.
+func (j *job) recordServerError(s *send) {
+	s.exchange.end(j.relay.clock.Now(), nil)
+	j.excluded = append(j.excluded, s.endpoint.Entry().ID)
+	j.observe("Retried", s.exchange, s.answer.Status, "the endpoint answered with a server error; retrying at another endpoint", nil)
+}
+
 // recordFailure records that a send to an endpoint failed. It does nothing once the request's context has ended: the failure
 // may then be due to the cancellation and not to the endpoint.
 func (j *job) recordFailure(ctx context.Context, x *exchange, err error) {
--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -111,12 +111,9 @@
 // explain returns err, the failure of the send, with errNoData if the send was given up for that: the send itself reports only that its
 // connection was closed.
 func (w *watchdog) explain(err error) error {
-	if !errors.Is(context.Cause(w.ctx), errNoData) {
+	if err == nil || errors.Is(err, errNoData) || !errors.Is(context.Cause(w.ctx), errNoData) {
 		return err
 	}
-	if err == nil {
-		return errNoData
-	}
 	return fmt.Errorf("%w: %w", errNoData, err)
 }
 
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -52,13 +52,18 @@
 
 // TakeRetry takes one retry from the budget and reports whether the budget allowed it.
 func (b *Budget) TakeRetry(now time.Time) bool {
+	return b.TakeRetries(now, 1)
+}
+
+// TakeRetries takes n retries from the budget, or none, and reports whether the budget allowed them.
+func (b *Budget) TakeRetries(now time.Time, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if !b.allows() {
+	if !b.allows(n) {
 		return false
 	}
-	b.retries[b.current%buckets]++
+	b.retries[b.current%buckets] += n
 	return true
 }
 
@@ -79,7 +84,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.allows()
+	return b.allows(1)
 }
 
 // Usage returns how many retries the window holds and how many it allows. It takes nothing from the budget.
@@ -90,10 +95,10 @@
 	return b.usage()
 }
 
-// allows reports whether one more retry is within the bound. The caller must hold the lock.
-func (b *Budget) allows() bool {
+// allows reports whether n more retries are within the bound. The caller must hold the lock.
+func (b *Budget) allows(n int) bool {
 	retries, allowed := b.usage()
-	return float64(retries+1) <= allowed
+	return float64(retries+n) <= allowed
 }
 
 // usage returns what Usage does. The caller must hold the lock.
