--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -111,7 +111,7 @@
 		j.rejectResumption(s)
 		return false
 	}
-	s.readWhole()
+	j.readWhole(s)
 	if s.err != nil {
 		j.recordFailure(ctx, s.exchange, s.err)
 		return false
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// readWhole reads the body of an answer without the job's lock: a handover that was abandoned ends meanwhile.
+func (j *job) readWhole(s *send) {
+	j.mu.Unlock()
+	defer j.mu.Lock()
+	s.readWhole()
+}
+
 // rejected reports whether the endpoint did not run the request or the prefill.
 func (s *send) rejected() bool {
 	return s.answer.NotRun || s.answer.Misdirected || s.attempt.PrefillOnly && !s.answer.Success()
