--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -59,11 +59,12 @@
 	next := j.settle(s)
 	prefilled := j.recordReceived(ctx, s)
 	if next != nil {
-		s.close()
+		j.discard(s)
 		s, prefilled = next, true
 		j.exchange = s.exchange
 	}
 	if !prefilled {
+		j.discard(s)
 		return false
 	}
 	s.exchange.end(j.relay.clock.Now(), nil)
--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -48,7 +48,7 @@
 			s.watchdog.cancel(errNoData)
 			return
 		}
-		n.close()
+		j.discard(n)
 		if h.abandoned || h.firstFailed || ctx.Err() != nil {
 			return
 		}
@@ -61,7 +61,7 @@
 // endPanicked ends a handover in which the send n panicked. The first endpoint has the request on.
 func (j *job) endPanicked(h *handover, n *send) {
 	if n != nil {
-		n.close()
+		j.discard(n)
 	}
 	if h.abandoned || h.firstFailed {
 		return
@@ -225,7 +225,7 @@
 	}
 	j.handover, h.abandoned = nil, true
 	if h.accepted != nil {
-		h.accepted.close()
+		j.discard(h.accepted)
 	}
 	if h.asked != nil {
 		h.asked.watchdog.cancel(nil)
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -226,8 +226,13 @@
 // freeSource frees a prefilled KV cache that no decode engine has fetched.
 func (j *job) freeSource() {
 	if j.source != nil {
-		r, e, id := j.relay, j.source.Endpoint, j.request.ID
-		r.sender.Free(j.source, func(a *Answer) { r.note(e, a, sourceFree, id) })
+		j.free(j.source)
 		j.source = nil
 	}
 }
+
+// free frees a KV cache.
+func (j *job) free(s *Source) {
+	r, e, id := j.relay, s.Endpoint, j.request.ID
+	r.sender.Free(s, func(a *Answer) { r.note(e, a, sourceFree, id) })
+}
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -66,6 +66,15 @@
 	s.release()
 }
 
+// discard ends a send that another one has replaced. A KV cache that it prefilled all the same is freed.
+func (j *job) discard(s *send) {
+	s.close()
+	if s.handle != "" {
+		j.free(&Source{Endpoint: s.endpoint, Handle: s.handle})
+		s.handle = ""
+	}
+}
+
 // wait waits for the endpoint's answer, with the limit of the watchdog and without the job's lock. Until it has returned, the request may be
 // handed over.
 func (j *job) wait(s *send) {
--- /dev/null
+++ b/serving/relay/silent_script_test.go
@@ -0,0 +1,189 @@
+package relay_test
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cowslipshunt.example/serving/relay"
+	"cowslipshunt.example/serving/roster"
+	"cowslipshunt.example/wire"
+	"github.com/jonboulle/clockwork"
+)
+
+// step answers one send.
+type step func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error)
+
+// stepSender answers prefills and runs by a script each. Sends after the last step of a script are rejected.
+type stepSender struct {
+	mu                 sync.Mutex
+	prefills, runs     []step
+	asked, ran         int
+	prefilled, settled int
+}
+
+func (s *stepSender) Send(ctx context.Context, _ *roster.Endpoint, a *relay.Attempt) (*relay.Answer, error) {
+	return s.next(a)(ctx, a)
+}
+
+func (s *stepSender) next(a *relay.Attempt) step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	script, n := s.runs, &s.ran
+	if a.PrefillOnly {
+		script, n = s.prefills, &s.asked
+	}
+	*n++
+	if *n > len(script) {
+		return rejectsAfter(0)
+	}
+	return script[*n-1]
+}
+
+func (s *stepSender) Prefilled(*relay.Answer) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prefilled++
+	return strconv.Itoa(s.prefilled), nil
+}
+
+func (s *stepSender) Free(*relay.Source, func(*relay.Answer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settled++
+}
+
+// rejectsAfter rejects a send after a time.
+func rejectsAfter(d time.Duration) step {
+	return func(ctx context.Context, _ *relay.Attempt) (*relay.Answer, error) {
+		select {
+		case <-ctx.Done():
+			return nil, net.ErrClosed
+		case <-time.After(d):
+		}
+		return &relay.Answer{Status: 503, NotRun: true, Body: &body{}}, nil
+	}
+}
+
+// answersAfter answers a send with all that is left of a stream after a time, or with the handle of a KV cache.
+func answersAfter(d time.Duration) step {
+	return func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+		select {
+		case <-ctx.Done():
+			return nil, net.ErrClosed
+		case <-time.After(d):
+		}
+		return wholeAnswer(ctx, a)
+	}
+}
+
+// answersAsItEnds answers a send at the moment at which its context ends.
+func answersAsItEnds(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+	<-ctx.Done()
+	return wholeAnswer(ctx, a)
+}
+
+// rejectsAsItEnds rejects a send at the moment at which its context ends.
+func rejectsAsItEnds(ctx context.Context, _ *relay.Attempt) (*relay.Answer, error) {
+	<-ctx.Done()
+	return &relay.Answer{Status: 503, NotRun: true, Body: &body{}}, nil
+}
+
+// fallsSilentFor sends a part of a stream, is silent for a time and goes on.
+func fallsSilentFor(d time.Duration) step {
+	return func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+		return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {""}}, Body: &pausingBody{ctx: ctx, next: nextEvent(a), pause: d}}, nil
+	}
+}
+
+func nextEvent(a *relay.Attempt) int {
+	last, err := strconv.Atoi(a.LastEvent)
+	if err != nil {
+		return 1
+	}
+	return last + 1
+}
+
+func wholeAnswer(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+	return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {""}}, Body: &pausingBody{ctx: ctx, next: nextEvent(a)}}, nil
+}
+
+// pausingBody is a stream that pauses once before its third event.
+type pausingBody struct {
+	body
+	ctx   context.Context
+	next  int
+	pause time.Duration
+}
+
+// Next returns the next event.
+func (b *pausingBody) Next() (relay.Event, error) {
+	if b.next > streamEvents/2 {
+		pause := b.pause
+		b.pause = 0
+		select {
+		case <-b.ctx.Done():
+			return relay.Event{}, net.ErrClosed
+		case <-time.After(pause):
+		}
+	}
+	events := body{next: b.next}
+	b.next++
+	return events.Next()
+}
+
+// playScript serves a resumable stream by a script, with a retry budget of the given number of sends.
+func playScript(t *testing.T, tokens int, retries float64, s *stepSender) *worldCaller {
+	t.Helper()
+	p := &worldPlan{budget: []budgetChange{{slack: retries}}, tables: []tableChange{{maxAttempts: 2}}}
+	p.stream(0).tokens = tokens
+	for _, stage := range []roster.Stage{roster.Prefill, roster.Decode} {
+		for i := range 3 {
+			id := wire.EndpointId(stageName(stage) + strconv.Itoa(i))
+			p.endpoints = append(p.endpoints, &placedEndpoint{entry: roster.Entry{Key: roster.Key{ID: id}, Service: engineService, Domain: "a", Stage: stage, Slots: 4}})
+		}
+	}
+	var c *worldCaller
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(p)
+		w.relay = relay.New(w.directory, s, w, w, clockwork.NewRealClock(), "a", relay.BudgetBounds{Window: worldWindow, Slack: retries})
+		w.relay.SetTable(w.table(0))
+		w.play(t.Context())
+		c = w.callers["r0"]
+		for _, fault := range w.checkLoad() {
+			t.Error(fault)
+		}
+		if t.Failed() || len(w.panics) > 0 {
+			t.Error(w.panics, w.decisions["r0"])
+		}
+	})
+	return c
+}
+
+// longPrompt is the length of a prompt that is prefilled separately, in tokens.
+const longPrompt = 9000
+
+// TestCacheOfAReplacedPrefillIsFreed guards against KV caches that stay at their engine until they expire: two engines have prefilled the
+// prompt at the same moment.
+func TestCacheOfAReplacedPrefillIsFreed(t *testing.T) {
+	for name, prefills := range map[string][]step{
+		"the first one answers as the other one is taken":  {answersAsItEnds, answersAfter(tick)},
+		"the other one answers as the first one goes on":   {answersAfter(2 * time.Second), answersAsItEnds},
+		"the first one answers as the prefill is given up": {answersAsItEnds, rejectsAfter(0)},
+	} {
+		fetched := 0
+		s := &stepSender{prefills: prefills, runs: []step{func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+			if a.Source != nil {
+				fetched++
+			}
+			return wholeAnswer(ctx, a)
+		}}}
+		if c := playScript(t, longPrompt, 5, s); !c.ended || s.prefilled != fetched+s.settled {
+			t.Errorf("%s: got %v; of %d caches %d were fetched and %d freed", name, c, s.prefilled, fetched, s.settled)
+		}
+	}
+}
