--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -59,6 +59,10 @@
 	next := j.settle(s)
 	prefilled := j.recordReceived(ctx, s)
 	if next != nil {
+		if prefilled {
+			// Only one successful prefill is free.
+			j.sent++
+		}
 		j.discard(s)
 		s, prefilled = next, true
 		j.exchange = s.exchange
--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -272,5 +272,12 @@
 	j.observe("Retried", s.exchange, s.answer.Status, "the endpoint answered with a server error; retrying at another endpoint", nil)
 }
 
+// recordReplaced records an answer that is not passed on, as another endpoint has accepted the request.
+func (j *job) recordReplaced(s *send) {
+	s.exchange.end(j.relay.clock.Now(), nil)
+	j.excluded = append(j.excluded, s.endpoint.Entry().ID)
+	j.observe("Retried", s.exchange, s.answer.Status, "the endpoint answered after another one had accepted the request", nil)
+}
+
 // errNoStream is the error of an exchange that was to resume a stream and has another answer.
 var errNoStream = errors.New("the answer to a resumption is no stream")
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -90,7 +90,7 @@
 		next = j.settle(s)
 		accepted := j.recordReceived(ctx, s)
 		if accepted && next != nil {
-			j.recordServerError(s)
+			j.recordReplaced(s)
 		}
 		if !accepted || next != nil {
 			return next, false
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -76,14 +76,16 @@
 }
 
 // wait waits for the endpoint's answer, with the limit of the watchdog and without the job's lock. Until it has returned, the request may be
-// handed over.
+// handed over. An answer counts also if it comes as the send is given up.
 func (j *job) wait(s *send) {
 	j.beginWait(s)
 	func() {
 		defer j.endWait(s)
 		j.receive(s)
 	}()
-	s.err = s.watchdog.explain(s.err)
+	if s.err != nil {
+		s.err = s.watchdog.explain(s.err)
+	}
 }
 
 func (j *job) beginWait(s *send) {
--- a/serving/relay/silent_checks_test.go
+++ b/serving/relay/silent_checks_test.go
@@ -231,7 +231,13 @@
 		}
 		ratio, slack := w.greatestBudget(from-connectTime, to)
 		if allowed := ratio*float64(most) + slack; float64(n) > allowed {
-			return []string{fmt.Sprintf("BUDGET: %d repeats to %s from %v to %v, %.2f allowed: %v", n, service, from, to, allowed, repeats)}
+			fault := fmt.Sprintf("BUDGET: %d repeats to %s from %v to %v, %.2f allowed: %v", n, service, from, to, allowed, repeats)
+			for _, r := range w.plan.requests {
+				if r.isStream() == engines && len(w.repeats(r)) > 0 {
+					fault += "\n" + w.trace(r)
+				}
+			}
+			return []string{fault}
 		}
 	}
 	return nil
--- a/serving/relay/silent_script_test.go
+++ b/serving/relay/silent_script_test.go
@@ -187,3 +187,21 @@
 		}
 	}
 }
+
+// TestRejectionOfAReplacedSendCounts guards against KV caches that stay at their engine, and endpoints that count as failed: a silent endpoint
+// has rejected the request at the moment at which another one takes it.
+func TestRejectionOfAReplacedSendCounts(t *testing.T) {
+	s := &stepSender{prefills: []step{answersAfter(0)}, runs: []step{rejectsAsItEnds, answersAfter(tick)}}
+	if c := playScript(t, longPrompt, 5, s); !c.ended || s.ran != 2 || s.settled != 1 {
+		t.Errorf("got %v after %d sends; %d caches were freed", c, s.ran, s.settled)
+	}
+}
+
+// TestSecondPrefillIsNoFirstSend guards against sends beyond the retry budget: two engines have prefilled the prompt at the same moment, and
+// only one of these prefills is free.
+func TestSecondPrefillIsNoFirstSend(t *testing.T) {
+	s := &stepSender{prefills: []step{answersAsItEnds, answersAfter(tick)}, runs: []step{answersAfter(0)}}
+	if c := playScript(t, longPrompt, 1, s); s.ran != 0 || c.refusal == nil || c.refusal.Verdict != relay.NotRun {
+		t.Errorf("got %v after %d runs", c, s.ran)
+	}
+}
