--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -93,10 +93,13 @@
 			return j.awaitHandover(), false
 		}
 	}
-	if s.forwardsStream(j.route, j.streaming) {
-		return j.forwardStream(ctx, s)
+	if !s.forwardsStream(j.route, j.streaming) {
+		return j.forwardAnswer(ctx, s)
 	}
-	return j.forwardAnswer(ctx, s)
+	if !j.wasHandedOver() {
+		j.goOn(s)
+	}
+	return j.forwardStream(ctx, s)
 }
 
 // forwardAnswer passes on an answer that is not a stream and returns what follow does. A server error is not passed on if the request can be
