--- a/serving/relay/watchdog.go
+++ b/serving/relay/watchdog.go
@@ -119,9 +119,9 @@
 
 // responseTimeout returns how long to wait for the head of an endpoint's answer, or for the first event of a stream, before another endpoint
 // is asked, given how often the request may have run, with this send. For a stream whose prompt the endpoint prefills itself, this includes
-// the estimated prefill time. It is 0, no limit, if the route has no goal or no other endpoint could be asked.
+// the estimated prefill time. It is 0, no limit, if the route has no goal or no attempt is left.
 func (j *job) responseTimeout(s *send, runs int) time.Duration {
-	if !j.route.Repeatable() || runs >= j.route.MaxAttempts || j.route.Goal <= 0 || !j.canRetryElsewhere(s.endpoint) {
+	if !j.route.Repeatable() || runs >= j.route.MaxAttempts || j.route.Goal <= 0 {
 		return 0
 	}
 	limit := responseTimeoutGoals * j.route.Goal
