--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -80,6 +80,8 @@
 		e, reason = nil, budgetReason
 	}
 	if e == nil {
+		// A retry that a withdrawn send has left must not pay for a send that is made much later.
+		j.sendIsPaid = false
 		j.observeWait(s, reason)
 		return nil
 	}
--- a/serving/relay/silent_script_test.go
+++ b/serving/relay/silent_script_test.go
@@ -20,6 +20,9 @@
 
 // stepSender answers prefills and runs by a script each. Sends after the last step of a script are rejected.
 type stepSender struct {
+	// world is that of the request, for steps that change it.
+	world *world
+
 	mu                 sync.Mutex
 	prefills, runs     []step
 	asked, ran         int
@@ -152,6 +155,7 @@
 		w := newWorld(p)
 		w.relay = relay.New(w.directory, s, w, w, clockwork.NewRealClock(), "a", relay.BudgetBounds{Window: worldWindow, Slack: retries})
 		w.relay.SetTable(w.table(0))
+		s.world = w
 		w.play(t.Context())
 		c = w.callers["r0"]
 		for _, fault := range w.checkLoad() {
@@ -205,3 +209,25 @@
 		t.Errorf("got %v after %d runs", c, s.ran)
 	}
 }
+
+// withdrawn is a send that is not sent, as its endpoint has asked for a pause.
+func withdrawn(context.Context, *relay.Attempt) (*relay.Answer, error) {
+	return nil, &relay.WithdrawnError{Reason: "the endpoint leaves"}
+}
+
+// TestWithdrawnSendOfAHandoverPaysForNoLaterOne guards against sends beyond the retry budget: a send that was taken from it and withdrawn paid
+// for one that was made much later, when the budget had been 0 for longer than its window.
+func TestWithdrawnSendOfAHandoverPaysForNoLaterOne(t *testing.T) {
+	s := &stepSender{}
+	rejectsLate := func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+		<-time.After(time.Second)
+		s.world.relay.SetBudget(0, 0)
+		<-time.After(3 * time.Second)
+		s.world.directory.Put(roster.Entry{Key: roster.Key{ID: "later"}, Service: engineService, Domain: "a", Stage: roster.Decode, Slots: 4})
+		return rejectsAfter(0)(ctx, a)
+	}
+	s.runs = []step{rejectsLate, withdrawn, withdrawn, answersAfter(0)}
+	if c := playScript(t, 200, 1, s); s.ran != 3 || c.refusal == nil || c.refusal.Verdict != relay.NotRun {
+		t.Errorf("got %v after %d sends, of which two were withdrawn", c, s.ran)
+	}
+}
