--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -63,11 +63,13 @@
 	if n != nil {
 		j.discard(n)
 	}
-	if h.abandoned || h.firstFailed {
+	if h.abandoned {
 		return
 	}
 	j.countAsked(h)
-	j.handover = nil
+	if !h.firstFailed {
+		j.handover = nil
+	}
 }
 
 // newSuccessor returns a send of what s asked for to another endpoint, which was taken from the retry budget, or nil if there is none.
