--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -53,7 +53,6 @@
 		j.dropHandover()
 		s.close()
 	}()
-	s.watchdog.setLimit(max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)))
 	j.exchange = s.exchange
 	j.wait(s)
 	next := j.settle(s)
--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -88,7 +88,13 @@
 		return nil
 	}
 	if s.attempt.PrefillOnly {
-		return j.newPrefill(ctx, e)
+		n := j.newPrefill(ctx, e)
+		n.watchdog.expired = func() {
+			if !j.giveUpPrefill(n) {
+				n.watchdog.resume()
+			}
+		}
+		return n
 	}
 	return j.newRun(ctx, e, nil)
 }
@@ -139,12 +145,16 @@
 	return !h.abandoned && j.recordReceived(ctx, n) && j.accepts(n)
 }
 
-// receiveElsewhere waits for the answer to n without the lock. An answer that is passed on whole is read to its end: only then another endpoint
+// receiveElsewhere waits for the answer to n without the lock, and with a limit if it is a prefill: both engines may be silent. An answer that is passed on whole is read to its end: only then another endpoint
 // is no longer needed.
 func (j *job) receiveElsewhere(n *send, resumes bool) {
+	n.watchdog.resume()
 	j.mu.Unlock()
-	defer j.mu.Lock()
+	defer j.endWait(n)
 	j.receive(n)
+	if n.err != nil {
+		n.err = n.watchdog.explain(n.err)
+	}
 	if n.err == nil && !n.attempt.PrefillOnly && !n.forwardsStream(j.route, resumes) {
 		n.readWhole()
 	}
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -54,7 +54,9 @@
 	j.prefills++
 	a := j.newAttempt()
 	a.PrefillOnly = true
-	return j.newSend(ctx, e, a, j.uncachedTokens(e))
+	s := j.newSend(ctx, e, a, j.uncachedTokens(e))
+	s.watchdog.setLimit(max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e)))
+	return s
 }
 
 // close ends the exchange with the endpoint.
--- /dev/null
+++ b/serving/relay/silent_prefill_test.go
@@ -0,0 +1,33 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/relay"
+)
+
+// TestTwoSilentPrefillsAreGivenUp guards against requests that wait for prefill engines until their deadline though a decode engine could
+// prefill their prompt: the engine that was asked in place of a silent one is silent too.
+func TestTwoSilentPrefillsAreGivenUp(t *testing.T) {
+	s := &stepSender{prefills: []step{answersAfter(time.Hour), answersAfter(time.Hour)}, runs: []step{answersAfter(0)}}
+	if c := playScript(t, longPrompt, 5, s); !c.ended || c.finished > worldTimeout/2 {
+		t.Errorf("got %v after %d prefills and %d runs", c, s.asked, s.ran)
+	}
+}
+
+// TestTwoSilentPrefillsAreKeptWithoutBudget guards against requests that are refused though one of two silent prefills goes on: the retry
+// budget allows no send without a prefill.
+func TestTwoSilentPrefillsAreKeptWithoutBudget(t *testing.T) {
+	for _, times := range [][2]time.Duration{{4 * time.Second, time.Hour}, {time.Hour, 4 * time.Second}} {
+		s := &stepSender{runs: []step{answersAfter(0)}}
+		s.prefills = []step{answersAfter(times[0]), func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+			s.world.relay.SetBudget(0, 0)
+			return answersAfter(times[1])(ctx, a)
+		}}
+		if c := playScript(t, longPrompt, 1, s); s.prefilled != 1 || c.finished < 4*time.Second || c.finished >= worldTimeout {
+			t.Errorf("got %v after %d prefills of which %d succeeded", c, s.asked, s.prefilled)
+		}
+	}
+}
