--- a/serving/relay/silent_checks_test.go
+++ b/serving/relay/silent_checks_test.go
@@ -125,9 +125,15 @@
 	return ""
 }
 
-// checkKept checks that an endpoint that goes on before another one has accepted keeps the request, and that the other send ends at once.
+// checkKept checks that an endpoint that goes on before another one has accepted keeps the request, and that the send that is not needed any
+// more ends at once.
 func (w *world) checkKept(_ *plannedRequest, _ *worldCaller, sends []*fleetSend) string {
 	for i, s := range sends {
+		for _, n := range sends[i+1:] {
+			if t := n.taken(); t >= 0 && s.ended > t && n.ended > t {
+				return fmt.Sprintf("KEPT: %s has taken the request over at %v, the send to %s ends at %v", n.endpoint.entry.ID, t, s.endpoint.entry.ID, s.ended)
+			}
+		}
 		if s.rejected || s.head < 0 || s.broken {
 			continue
 		}
--- a/serving/relay/silent_script_test.go
+++ b/serving/relay/silent_script_test.go
@@ -115,19 +115,22 @@
 	return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {""}}, Body: &pausingBody{ctx: ctx, next: nextEvent(a)}}, nil
 }
 
-// pausingBody is a stream that pauses once before its third event.
+// pausingBody is a stream that pauses before its third event, and before each later one if again is set.
 type pausingBody struct {
 	body
 	ctx   context.Context
 	next  int
 	pause time.Duration
+	again bool
 }
 
 // Next returns the next event.
 func (b *pausingBody) Next() (relay.Event, error) {
 	if b.next > streamEvents/2 {
 		pause := b.pause
-		b.pause = 0
+		if !b.again {
+			b.pause = 0
+		}
 		select {
 		case <-b.ctx.Done():
 			return relay.Event{}, net.ErrClosed
