--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -33,8 +33,9 @@
 	// sent counts the sends that may have reached an endpoint, except successful prefills. Once it is above 0, each further send is
 	// taken from the retry budget. possibleRuns counts the sends that may have made an endpoint run the request.
 	sent, possibleRuns int
-	// sendIsPaid is set while the next send has already been taken from the retry budget.
+	// sendIsPaid is set while the next send has already been taken from the retry budget, at paidAt.
 	sendIsPaid bool
+	paidAt     time.Time
 	// tookRetry is set if the send allowed last was taken from the retry budget.
 	tookRetry bool
 	// prefills counts the engines that were asked to prefill the prompt for the next send.
@@ -156,11 +157,20 @@
 
 // takeRetry takes a send from the retry budget, or uses one that was taken before, and reports whether there was one.
 func (j *job) takeRetry() bool {
-	if !j.sendIsPaid && !j.budget.TakeRetry(j.relay.clock.Now()) {
-		return false
+	now, taken := j.relay.clock.Now(), false
+	if j.sendIsPaid {
+		j.sendIsPaid = false
+		taken = j.budget.Renew(j.paidAt, now)
+	} else {
+		taken = j.budget.TakeRetry(now)
 	}
-	j.sendIsPaid, j.tookRetry = false, true
-	return true
+	j.tookRetry = taken
+	return taken
+}
+
+// payNext records that the next send was taken from the retry budget.
+func (j *job) payNext(at time.Time) {
+	j.sendIsPaid, j.paidAt = true, at
 }
 
 // mayRun reports whether the request may run at an endpoint. If it may have run before, its route must allow a further run, and the last
--- a/serving/relay/notice.go
+++ b/serving/relay/notice.go
@@ -130,7 +130,9 @@
 func (j *job) recordWithdrawal(s *send, err *WithdrawnError) {
 	s.exchange.end(j.relay.clock.Now(), err)
 	// Nothing was sent, so the retry that this send took pays for the next one.
-	j.sendIsPaid = s.paid
+	if s.paid {
+		j.payNext(s.exchange.began)
+	}
 	if err.Source {
 		j.source, j.sourceLost = nil, true
 		j.observe("Withdrawn", s.exchange, 0, "the KV cache cannot be fetched; the decode engine prefills the prompt", err)
--- a/serving/relay/successor.go
+++ b/serving/relay/successor.go
@@ -66,14 +66,15 @@
 // payPrefill takes a further prefill from the retry budget, and the send after it that runs the request: without that the prompt would be
 // prefilled for nothing.
 func (j *job) payPrefill() bool {
-	retries := 2
+	retries, now := 2, j.relay.clock.Now()
 	if j.sendIsPaid {
 		retries = 1
 	}
-	if !j.budget.TakeRetries(j.relay.clock.Now(), retries) {
+	if !j.budget.TakeRetries(now, retries) {
 		return false
 	}
-	j.sendIsPaid, j.tookRetry = true, true
+	j.payNext(now)
+	j.tookRetry = true
 	return true
 }
 
@@ -83,7 +84,8 @@
 	if len(j.endpoints(j.need(roster.Decode))) == 0 || !j.takeRetry() {
 		return false
 	}
-	j.sendIsPaid, j.prefills = true, maxPrefillAttempts
+	j.payNext(j.relay.clock.Now())
+	j.prefills = maxPrefillAttempts
 	j.endHandover(h)
 	if !h.firstFailed {
 		j.handover = nil
--- a/serving/retry/budget.go
+++ b/serving/retry/budget.go
@@ -67,6 +67,22 @@
 	return true
 }
 
+// Renew moves a retry that was taken earlier to now, when it is made. If it no longer counts, another one is taken. It reports whether there
+// is one.
+func (b *Budget) Renew(taken, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	n := taken.UnixNano() / int64(b.bucket)
+	if n > b.current-buckets && b.retries[n%buckets] > 0 {
+		b.retries[n%buckets]--
+	} else if !b.allows(1) {
+		return false
+	}
+	b.retries[b.current%buckets]++
+	return true
+}
+
 // advance moves on to the bucket of now and empties the buckets that have left the window.
 func (b *Budget) advance(now time.Time) {
 	current := now.UnixNano() / int64(b.bucket)
--- a/serving/retry/budget_test.go
+++ b/serving/retry/budget_test.go
@@ -99,3 +99,26 @@
 		t.Error("the new slack allowed no retry")
 	}
 }
+
+// TestRetriesAreTakenTogetherOrNotAtAll guards against work that is paid for by half.
+func TestRetriesAreTakenTogetherOrNotAtAll(t *testing.T) {
+	b, now := retry.NewBudget(window, 0, 3), time.Unix(1e9, 0)
+	if !b.TakeRetries(now, 2) || b.TakeRetries(now, 2) || !b.TakeRetry(now) || b.TakeRetry(now) {
+		t.Error("a budget of 3 did not allow 2, then 1")
+	}
+}
+
+// TestRenewedRetryCountsFromItsSend guards against sends beyond the budget: a retry that was taken early counts only for a window from then on.
+func TestRenewedRetryCountsFromItsSend(t *testing.T) {
+	b, now := retry.NewBudget(window, 0, 1), time.Unix(1e9, 0)
+	sent := now.Add(window / 2)
+	if !b.TakeRetry(now) || !b.Renew(now, sent) {
+		t.Fatal("a budget of 1 did not allow one retry that is sent later")
+	}
+	if b.TakeRetry(sent.Add(window * 3 / 4)) {
+		t.Error("another retry is allowed within a window of the one that was sent")
+	}
+	if late := sent.Add(2 * window); !b.TakeRetry(late) || b.Renew(sent, late) {
+		t.Error("a retry that no longer counts was renewed although the budget is spent")
+	}
+}
