--- a/entry/answer/place.go
+++ b/entry/answer/place.go
@@ -51,29 +51,41 @@
 
 // acquireSlot waits for a slot at an engine, for up to the queue limit. It prefers engines that have not failed this request.
 // Only the first attempt carries an estimate, which the queue charges and by which it may refuse the request early.
-func (s *Server) acquireSlot(ctx context.Context, admitted *admission.Request, model document.Model, x *exchange, failed []wire.EndpointId) (*endpoint.Slot, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.limits.Queue)
-	defer cancel()
-	request := queue.Request{Workspace: admitted.Workspace.Name, Weight: admitted.Workspace.Weight}
+func (s *Server) acquireSlot(ctx context.Context, admitted *admission.Request, model document.Model, x *exchange) (*endpoint.Slot, error) {
+	request := s.queueRequest(admitted, model, x, x.failed)
 	if x.attempt == 0 {
 		request.Estimate = x.estimatedService(model)
 		request.MaxWait = s.limits.Queue
 	}
-	request.Choose = func() *endpoint.Slot {
-		return s.chooseSlot(model.Name, x.prompt, failed)
-	}
 	start := s.clock.Now()
-	slot, err := s.queues.Get(string(model.Name)).Acquire(ctx, request)
+	slot, err := s.waitForSlot(ctx, model, request)
 	waited := s.clock.Since(start)
 	queueWait.Update(waited.Seconds())
 	x.queueTime += waited
-	if err == nil {
-		x.placement = slot.Reason
-		placements[slot.Reason].Inc()
-	}
 	return slot, err
 }
 
+// queueRequest returns a request for a slot, without an estimate, that prefers engines that are not listed in avoided.
+func (s *Server) queueRequest(admitted *admission.Request, model document.Model, x *exchange, avoided []wire.EndpointId) queue.Request {
+	choose := func() *endpoint.Slot {
+		return s.chooseSlot(model.Name, x.prompt, avoided)
+	}
+	return queue.Request{Workspace: admitted.Workspace.Name, Weight: admitted.Workspace.Weight, Choose: choose}
+}
+
+// waitForSlot waits for a slot for up to the queue limit.
+func (s *Server) waitForSlot(ctx context.Context, model document.Model, request queue.Request) (*endpoint.Slot, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Queue)
+	defer cancel()
+	return s.queues.Get(string(model.Name)).Acquire(ctx, request)
+}
+
+// freeSlot frees a slot and serves the queue again.
+func (s *Server) freeSlot(model document.Model, slot *endpoint.Slot) {
+	slot.Release()
+	s.queues.Get(string(model.Name)).Wake()
+}
+
 // chooseSlot takes a slot at an engine that has not failed this request, or at any engine if there is none. It returns nil if
 // no engine has a free slot.
 func (s *Server) chooseSlot(model wire.ModelName, prompt endpoint.Prompt, failed []wire.EndpointId) *endpoint.Slot {
--- a/entry/answer/server.go
+++ b/entry/answer/server.go
@@ -73,7 +73,7 @@
 	Body time.Duration
 	// Queue bounds the wait for a slot at an engine.
 	Queue time.Duration
-	// Stall bounds the wait for an engine's first event, and the time between two events.
+	// Stall is how long an engine may send nothing before another one is asked.
 	Stall time.Duration
 	// Total bounds the time in the queue and at engines, over all attempts.
 	Total time.Duration
@@ -87,7 +87,7 @@
 		queues:          queues,
 		recorder:        recorder,
 		forwarder:       forwarder,
-		engineTransport: caller.NewTransport(limits.Stall),
+		engineTransport: caller.NewTransport(0),
 		retryBudget:     rate.NewLimiter(retriesPerSecond, retryBurst),
 		limits:          limits,
 		clock:           clock,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -40,8 +40,8 @@
 	BodyMillis int
 	// QueueMillis bounds a request's wait for an endpoint.
 	QueueMillis int
-	// StallMillis bounds the time between two events of an engine's stream, and the wait for the header of a response from an
-	// endpoint or a peer.
+	// StallMillis is how long an engine may be silent before another one is asked. It also bounds the wait for the header of a
+	// response from an endpoint of a service or a peer.
 	StallMillis int
 	// WholeMillis bounds the time that a model request, or a service request with a claim, spends in the queue and at endpoints,
 	// over all attempts.
