--- a/entry/serve.go
+++ b/entry/serve.go
@@ -192,12 +192,12 @@
 
 func (p *program) serviceLimits() service.Limits {
 	return service.Limits{
-		Body:           millis(p.cfg.BodyMillis),
-		Queue:          millis(p.cfg.QueueMillis),
-		ResponseHeader: millis(p.cfg.StallMillis),
-		Total:          millis(p.cfg.WholeMillis),
-		Claim:          millis(p.cfg.ClaimMillis),
-		Store:          millis(p.cfg.StoreMillis),
+		Body:  millis(p.cfg.BodyMillis),
+		Queue: millis(p.cfg.QueueMillis),
+		Stall: millis(p.cfg.StallMillis),
+		Total: millis(p.cfg.WholeMillis),
+		Claim: millis(p.cfg.ClaimMillis),
+		Store: millis(p.cfg.StoreMillis),
 	}
 }
 
--- a/entry/service/send.go
+++ b/entry/service/send.go
@@ -19,32 +19,21 @@
 // send sends the request to an endpoint and returns the response with the slot, which the caller of send releases. A request
 // whose route is not repeatable is sent again only if no byte of it was sent, or if the endpoint reports that it ran nothing.
 func (s *Server) send(c *call) (*http.Response, *endpoint.Slot, *problem.Problem) {
-	mayHaveRun := false
-	var failed []wire.EndpointId
-	for attempt := 1; ; attempt++ {
-		slot, err := s.acquireSlot(c, failed)
+	q := newInquiry(s, c)
+	defer q.close()
+	for {
+		slot, err := s.acquireSlot(c.ctx, c, q.failed)
 		if err != nil {
-			return nil, nil, slotRefusal(err, mayHaveRun)
+			return nil, nil, slotRefusal(err, q.mayHaveRun)
 		}
-		resp, err := s.sendTo(c, slot)
-		if err == nil && !rejectedNotRun(resp) {
-			slot.RecordSuccess()
-			return resp, slot, nil
+		q.begin(slot)
+		t, accepted := q.await()
+		if accepted {
+			return t.resp, t.slot, nil
 		}
-		slot.Release()
-		s.wakeQueue(c)
-		notRun := err == nil || caller.NeverSent(err)
-		if err == nil {
-			resp.Body.Close()
-		} else {
-			slot.RecordFailure(s.clock.Now())
-		}
-		mayHaveRun = mayHaveRun || !notRun
-		c.admitted.Log.Warn().Err(err).Str("Endpoint", string(slot.State().Endpoint)).Bool("NotRun", notRun).Msg("attempt at an endpoint failed")
-		if p := c.retryOrRefuse(attempt, mayHaveRun, notRun, err); p != nil {
+		if p := c.retryOrRefuse(q.attempts, q.mayHaveRun, t.notRun(), t.err); p != nil {
 			return nil, nil, p
 		}
-		failed = append(failed, slot.State().Endpoint)
 	}
 }
 
@@ -83,8 +72,8 @@
 }
 
 // acquireSlot waits for a slot at an endpoint, for up to the queue limit. It prefers endpoints that have not failed this request.
-func (s *Server) acquireSlot(c *call, failed []wire.EndpointId) (*endpoint.Slot, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, s.limits.Queue)
+func (s *Server) acquireSlot(ctx context.Context, c *call, failed []wire.EndpointId) (*endpoint.Slot, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.limits.Queue)
 	defer cancel()
 	w := c.admitted.Workspace
 	request := queue.Request{Workspace: w.Name, Weight: w.Weight, Estimate: serviceUnitsPerRequest}
@@ -111,9 +100,9 @@
 
 // sendTo sends the request to the endpoint of a slot. Only repeatable requests reuse connections, as net/http's transport may
 // send a request again when a reused connection turns out to be closed.
-func (s *Server) sendTo(c *call, slot *endpoint.Slot) (*http.Response, error) {
+func (s *Server) sendTo(ctx context.Context, c *call, slot *endpoint.Slot) (*http.Response, error) {
 	target := url.URL{Scheme: "http", Host: slot.State().Address, Path: c.path, RawQuery: caller.QueryWithoutKey(c.r.URL.RawQuery, c.admitted.Key)}
-	r, err := http.NewRequestWithContext(c.ctx, c.r.Method, target.String(), nil)
+	r, err := http.NewRequestWithContext(ctx, c.r.Method, target.String(), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/service/server.go
+++ b/entry/service/server.go
@@ -54,9 +54,10 @@
 	Body time.Duration
 	// Queue bounds the wait for a slot at an endpoint.
 	Queue time.Duration
-	// ResponseHeader bounds the wait for the header of an endpoint's response.
-	ResponseHeader time.Duration
-	// Total bounds the time in the queue and at endpoints for a request with a claim, over all attempts.
+	// Stall is how long an endpoint may be silent before it is avoided and, for a repeatable request, another one is asked.
+	Stall time.Duration
+	// Total bounds the wait for the header of an endpoint's response. For a request with a claim it bounds all of the time in the queue
+	// and at endpoints, over all attempts.
 	Total time.Duration
 	// Claim bounds the write of the claim before a request with an Idempotency-Key is sent.
 	Claim time.Duration
@@ -93,8 +94,8 @@
 		claims:             claims,
 		recorder:           recorder,
 		forwarder:          forwarder,
-		pooledTransport:    caller.NewTransport(limits.ResponseHeader),
-		singleUseTransport: caller.NewSingleUseTransport(limits.ResponseHeader),
+		pooledTransport:    caller.NewTransport(limits.Total),
+		singleUseTransport: caller.NewSingleUseTransport(limits.Total),
 		limits:             limits,
 		clock:              clock,
 		forceCtx:           forceCtx,
