--- a/entry/serve.go
+++ b/entry/serve.go
@@ -109,7 +109,7 @@
 	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
 	p.gate = admission.NewGate(p.current, documents, cfg.MaxRequests, logger)
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, documents, clock, logger)
-	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, p.hub, clock, millis(cfg.StallMillis))
+	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, p.hub, clock, millis(cfg.WholeMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
 	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
 	p.services = service.NewServer(process.ForceContext(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -41,10 +41,11 @@
 	// QueueMillis bounds a request's wait for an endpoint.
 	QueueMillis int
 	// StallMillis is how long an engine may be silent, or an endpoint of a service before its answer, until it is avoided and another
-	// one is asked, if the request may be repeated. It also bounds the wait for the header of a response from a peer.
+	// one is asked, if the request may be repeated.
 	StallMillis int
 	// WholeMillis bounds the time that a model request, or a service request with a claim, spends in the queue and at endpoints,
-	// over all attempts. For other service requests it bounds the wait for the header of the response.
+	// over all attempts. For other service requests, and for those that are forwarded to a peer, it bounds the wait for the header
+	// of the response.
 	WholeMillis int
 	// ClaimMillis bounds the write of the claim for a request with an Idempotency-Key. The request is refused after it.
 	ClaimMillis int
--- a/proof/slow_test.go
+++ b/proof/slow_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"cowslipshunt.example/wire"
 )
 
 // bodyTimeout is the BodyMillis setting of the entries in TestSlowCallerIsRefused.
@@ -41,6 +43,31 @@
 	}
 }
 
+// TestLateAnswersAreNotRefused guards against refusals with 502 or 504 of requests whose endpoint is only late, in the caller's failure
+// domain or in the one to which the request is forwarded.
+func TestLateAnswersAreNotRefused(t *testing.T) {
+	p := smallPlan()
+	p.domains = []string{"a", "b"}
+	p.entrySettings = "StallMillis = 300\n"
+	s := newSystem(t, p)
+	startLeaseHolder(t, s, "a")
+	for _, m := range s.in("a") {
+		eventually(t, m.name+" lists endpoints", func() bool { return len(s.status(m).Endpoints) > 0 })
+	}
+	s.waitLinked(t)
+	s.post(s.endpointIn(s.services, "a").address, "/fault", wire.ServiceFault{DelayMillis: 1000})
+	for _, m := range []*instance{s.in("a")[0], s.in("b")[0]} {
+		for _, key := range []string{"", "key-" + m.name} {
+			if res := newCaller(testKey).book(m.address, "hall-"+m.name+key, key); res.status != http.StatusOK {
+				t.Errorf("%s, key %q: %d %s", m.name, key, res.status, res.body)
+			}
+		}
+		if res := newCaller(testKey).chat(m.address, "a long itinerary", 400); res.status != http.StatusOK {
+			t.Errorf("%s: a chat was answered %d %s", m.name, res.status, res.body)
+		}
+	}
+}
+
 // TestOversizedCallerIsRefused sends a body and a header that exceed an entry's limits. Both must be refused without reaching
 // an engine, and the next request must be served.
 func TestOversizedCallerIsRefused(t *testing.T) {
