--- a/entry/answer/run.go
+++ b/entry/answer/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"cowslipshunt.example/shared/document"
 	"cowslipshunt.example/shared/endpoint"
 	"cowslipshunt.example/shared/problem"
+	"cowslipshunt.example/shared/process"
 )
 
 // runAttempts sends the request to one engine after another until its answer is complete, and bills it.
@@ -37,6 +39,9 @@
 	if attemptErr.Refusal != nil {
 		return attemptErr.Refusal
 	}
+	if errors.Is(context.Cause(ctx), process.ErrStopping) {
+		return x.refusal(http.StatusServiceUnavailable, "this entry stops")
+	}
 	if attemptErr.CallerGone || ctx.Err() != nil {
 		return x.refusal(http.StatusGatewayTimeout, "the request ended: %v", context.Cause(ctx))
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -280,10 +280,10 @@
 	}
 }
 
-// shutdownError replaces the error of a shutdown that ended early by one with the number of requests still in flight.
+// shutdownError replaces the error of a shutdown that ended early by one that says what was ended.
 func (p *program) shutdownError(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return &process.IncompleteShutdownError{What: fmt.Sprintf("%d requests", p.gate.InFlight())}
+		return &process.IncompleteShutdownError{What: "open requests"}
 	}
 	return err
 }
--- a/entry/service/claimed.go
+++ b/entry/service/claimed.go
@@ -12,6 +12,7 @@
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/document"
 	"cowslipshunt.example/shared/problem"
+	"cowslipshunt.example/shared/process"
 	"cowslipshunt.example/wire"
 )
 
@@ -39,6 +40,7 @@
 	}
 	c.ctx, cancel = context.WithTimeout(context.WithoutCancel(c.ctx), s.limits.Total)
 	defer cancel()
+	defer endAtStop(c.r.Context(), cancel)()
 	answer, p := s.fetch(c)
 	if p != nil {
 		s.settleClaim(c, claim, p.Outcome)
@@ -50,6 +52,15 @@
 	return nil
 }
 
+// endAtStop calls end once requests ends because the process stops, but not if the caller leaves. stop ends the wait for that.
+func endAtStop(requests context.Context, end func()) (stop func() bool) {
+	return context.AfterFunc(requests, func() {
+		if errors.Is(context.Cause(requests), process.ErrStopping) {
+			end()
+		}
+	})
+}
+
 func (c *call) claimKey() booking.Key {
 	return booking.Key{
 		Workspace: c.admitted.Workspace.Name,
--- a/proof/slow_test.go
+++ b/proof/slow_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"cowslipshunt.example/shared/process"
 	"cowslipshunt.example/wire"
 )
 
@@ -68,6 +70,45 @@
 	}
 }
 
+// TestStopAnswersOpenRequests guards against requests that get neither an answer nor a refusal, as the entry reaches the end of a graceful
+// stop before their endpoint answers. A stream that has begun must be visibly cut.
+func TestStopAnswersOpenRequests(t *testing.T) {
+	p := smallPlan()
+	p.entrySettings = "LeaveMillis = 1000\nStopMillis = 300\n"
+	s := newReadySystem(t, p)
+	s.setServiceFaults(wire.ServiceFault{DelayMillis: 10_000})
+	for _, e := range s.engines {
+		s.post(e.address, "/fault", wire.EngineFault{StallAfterTokens: 3})
+	}
+	address := s.instances[0].address
+	requests := map[string]func() result{
+		"chat":            func() result { return newCaller(testKey).chat(address, "a venue", 10) },
+		"stream":          func() result { return newCaller(testKey).stream(address, "a venue", 10, nil) },
+		"booking":         func() result { return newCaller(testKey).book(address, "hall", "") },
+		"claimed booking": func() result { return newCaller(testKey).book(address, "room", "key") },
+	}
+	var work sync.WaitGroup
+	for name, send := range requests {
+		work.Go(func() {
+			res := send()
+			if name == "stream" {
+				if res.complete || res.err == nil || len(res.tokens) != 3 {
+					t.Errorf("%s: complete %v, %d tokens, err %v", name, res.complete, len(res.tokens), res.err)
+				}
+				return
+			}
+			if res.outcome != "Unknown" || res.status < http.StatusInternalServerError {
+				t.Errorf("%s: status %d, outcome %q, err %v", name, res.status, res.outcome, res.err)
+			}
+		})
+	}
+	eventually(t, "the chats are at their engines", func() bool { return len(s.engineRuns()) == 2 })
+	if code := s.instances[0].entry.stop(t); code != process.ExitIncomplete {
+		t.Errorf("the entry exited %d", code)
+	}
+	work.Wait()
+}
+
 // TestOversizedCallerIsRefused sends a body and a header that exceed an entry's limits. Both must be refused without reaching
 // an engine, and the next request must be served.
 func TestOversizedCallerIsRefused(t *testing.T) {
--- a/shared/process/operations.go
+++ b/shared/process/operations.go
@@ -69,9 +69,19 @@
 	}
 }
 
-// Serve runs srv on l until ctx ends and then shuts it down gracefully. If requests are still running after grace, it closes their
-// connections and returns context.DeadlineExceeded.
+// ErrStopping is the cause of the context of a request that is ended, as its server has to stop.
+var ErrStopping = errors.New("the process stops")
+
+// endTimeout bounds the time in which handlers may answer the requests that are ended at the end of the grace period.
+const endTimeout = time.Second
+
+// Serve runs srv, whose BaseContext it sets, on l until ctx ends and then shuts it down gracefully. If requests are still running after
+// grace, it ends their contexts with the cause ErrStopping, gives their handlers endTimeout to answer, closes the connections that
+// remain, and returns context.DeadlineExceeded.
 func Serve(ctx context.Context, srv *http.Server, l net.Listener, grace time.Duration) error {
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
+	srv.BaseContext = func(net.Listener) context.Context { return requests }
 	conns := connections.Track(srv, clockwork.NewRealClock())
 	done := make(chan error, 1)
 	go func() {
@@ -86,10 +96,20 @@
 	defer cancel()
 	err := conns.Shutdown(stopCtx)
 	if err != nil {
-		_ = srv.Close()
+		endRequests(ErrStopping)
+		closeConnections(srv, conns)
 	}
 	if serveErr := <-done; !errors.Is(serveErr, http.ErrServerClosed) {
 		return serveErr
 	}
 	return err
 }
+
+// closeConnections closes all connections of a server, those whose requests are answered within endTimeout after their answer.
+func closeConnections(srv *http.Server, conns *connections.Tracker) {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if conns.Shutdown(ctx) != nil {
+		_ = srv.Close()
+	}
+}
