--- a/entry/answer/follow.go
+++ b/entry/answer/follow.go
@@ -102,7 +102,7 @@
 	}
 	if a.silent {
 		a.silent, f.waitReason = false, ""
-		a.slot.RecordSuccess()
+		a.slot.RecordActivity()
 		f.admitted.Log.Info().Str("Endpoint", string(a.slot.State().Endpoint)).Int("Attempt", a.number).Msg("silent engine has gone on")
 	}
 	f.recordEvent(a.slot, f.server.clock.Now())
--- a/entry/answer/handover.go
+++ b/entry/answer/handover.go
@@ -16,7 +16,7 @@
 	now := f.server.clock.Now()
 	for _, a := range f.open {
 		a.silent = true
-		a.slot.RecordFailure(now)
+		a.slot.RecordSilence(now)
 	}
 	asked := f.asked()
 	switch {
--- a/entry/answer/silence_test.go
+++ b/entry/answer/silence_test.go
@@ -216,3 +216,34 @@
 		t.Errorf("the engines got %d requests", n)
 	}
 }
+
+// TestHungRequestDoesNotKeepOthersFromTheEngine guards against an engine that gets no more requests, as one that it does not answer is waited
+// for and takes the place of the probe after a failure.
+func TestHungRequestDoesNotKeepOthersFromTheEngine(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	waited, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	s := newSystem(t, 1, 4, time.Second, func(c *engineCall) {
+		if calls.Add(1) == 1 {
+			c.answerWithSilence(2, release)
+			return
+		}
+		c.answer()
+	})
+	s.log.onLine = func(line string) {
+		if strings.Contains(line, "there is no other") {
+			once.Do(func() { close(waited) })
+		}
+	}
+	var hung sync.WaitGroup
+	hung.Go(func() { _, _ = s.stream(t) })
+	<-waited
+	for range 3 {
+		if tokens, whole := s.stream(t); len(tokens) != tokenCount || !whole {
+			t.Errorf("got tokens %v, whole: %v", tokens, whole)
+		}
+	}
+	close(release)
+	hung.Wait()
+}
--- a/entry/service/inquiry.go
+++ b/entry/service/inquiry.go
@@ -67,6 +67,7 @@
 		case t := <-q.replies:
 			q.open = slices.DeleteFunc(q.open, func(other *try) bool { return other == t })
 			if q.accepts(t) {
+				t.slot.RecordActivity()
 				t.slot.RecordSuccess()
 				return t, true
 			}
@@ -123,7 +124,7 @@
 func (q *inquiry) handOver() {
 	now := q.server.clock.Now()
 	for _, t := range q.open {
-		t.slot.RecordFailure(now)
+		t.slot.RecordSilence(now)
 	}
 	asked := q.asked()
 	need := q.call.need()
--- a/entry/service/silence_test.go
+++ b/entry/service/silence_test.go
@@ -93,30 +93,43 @@
 	return s
 }
 
-// requireAnswer sends a request and fails the test unless it is answered with status 200 and the text want, and no slot is taken then.
-func (s *system) requireAnswer(t *testing.T, path, want string) {
+// call sends a request and returns the status and the text of the answer.
+func (s *system) call(t *testing.T, path string) (status int, text string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.address+"/services/service"+path, strings.NewReader("{}"))
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return 0, ""
 	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return 0, ""
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	if resp.StatusCode != http.StatusOK || string(body) != want || err != nil {
-		t.Errorf("status %d, %q, %v", resp.StatusCode, body, err)
+	if err != nil {
+		t.Error(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// requireAnswer sends a request and fails the test unless it is answered with status 200 and the text want, and no slot is taken then.
+func (s *system) requireAnswer(t *testing.T, path, want string) {
+	t.Helper()
+	if status, text := s.call(t, path); status != http.StatusOK || text != want {
+		t.Errorf("status %d, %q", status, text)
 	}
+	timeout := time.After(testTimeout)
 	for _, e := range s.directory.View().Service("service") {
-		for e.InFlight() != 0 && ctx.Err() == nil {
-			<-time.After(time.Millisecond)
-		}
-		if n := e.InFlight(); n != 0 {
-			t.Errorf("%d slots of %s are taken after the answer", n, e.State().Endpoint)
+		for e.InFlight() != 0 {
+			select {
+			case <-time.After(time.Millisecond):
+			case <-timeout:
+				t.Fatalf("%d slots of %s are taken after the answer", e.InFlight(), e.State().Endpoint)
+			}
 		}
 	}
 }
@@ -208,3 +221,32 @@
 	s.requireAnswer(t, "/again", "instead")
 	<-left
 }
+
+// TestHungRequestDoesNotKeepOthersFromTheEndpoint guards against an endpoint that gets no more requests, as one that it does not answer is
+// waited for and takes the place of the probe after a failure.
+func TestHungRequestDoesNotKeepOthersFromTheEndpoint(t *testing.T) {
+	var once sync.Once
+	waited, release := make(chan struct{}), make(chan struct{})
+	log := func(line string) {
+		if strings.Contains(line, "the route is not repeatable") {
+			once.Do(func() { close(waited) })
+		}
+	}
+	s := newSystem(t, 1, log, func(n int64, w http.ResponseWriter, r *http.Request) {
+		if n == 1 {
+			answerLate(w, r, release)
+			return
+		}
+		_, _ = io.WriteString(w, "at once")
+	})
+	var hung sync.WaitGroup
+	hung.Go(func() { _, _ = s.call(t, "/once") })
+	<-waited
+	for range 3 {
+		if status, text := s.call(t, "/once"); status != http.StatusOK || text != "at once" {
+			t.Errorf("status %d, %q", status, text)
+		}
+	}
+	close(release)
+	hung.Wait()
+}
--- a/shared/endpoint/endpoint.go
+++ b/shared/endpoint/endpoint.go
@@ -21,6 +21,8 @@
 	// retryAt is when a failed endpoint may be tried again, in Unix nanoseconds.
 	retryAt  atomic.Int64
 	failures atomic.Int64
+	// silent counts the requests in flight to which the endpoint has sent nothing for too long.
+	silent atomic.Int64
 	// pendingPrefill is how many tokens of this entry's requests the endpoint still has to prefill.
 	pendingPrefill atomic.Int64
 	cache          cacheEstimate
@@ -70,12 +72,13 @@
 	return pending == 0 || pending+int64(tokens) <= maxPendingPrefill
 }
 
-// maxInFlight returns how many requests may be in flight: after a failure only one, as a probe.
+// maxInFlight returns how many requests may be in flight: after a failure only one, as a probe, besides the silent ones.
 func (e *Endpoint) maxInFlight() int64 {
+	limit := e.limit.Load()
 	if e.failures.Load() > 0 {
-		return 1
+		return min(limit, 1+e.silent.Load())
 	}
-	return e.limit.Load()
+	return limit
 }
 
 // RecordFailure records a failure of the endpoint at now and pauses it; each consecutive failure doubles the pause up to a maximum. The
--- a/shared/endpoint/slot.go
+++ b/shared/endpoint/slot.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Reason says why Choose picked an endpoint for a request.
 type Reason string
@@ -26,6 +29,8 @@
 	// prefillTokens is how many tokens the endpoint is expected to prefill for the request.
 	prefillTokens int64
 	prefillDone   atomic.Bool
+	// silent is set while the request counts in the endpoint's silent ones.
+	silent atomic.Bool
 }
 
 // RecordStart records that the endpoint began to answer: it has done the request's prefill, and an earlier failure no longer counts.
@@ -35,9 +40,36 @@
 	}
 }
 
+// RecordSilence records that the endpoint has sent nothing for too long, as a failure at now. The request stays there, and does not count as
+// the one that probes whether the endpoint works again. Later calls do nothing until RecordActivity was called.
+func (s *Slot) RecordSilence(now time.Time) {
+	if s.silent.Swap(true) {
+		return
+	}
+	s.Endpoint.silent.Add(1)
+	s.RecordFailure(now)
+}
+
+// RecordActivity records that the endpoint has sent something, which ends its silence.
+func (s *Slot) RecordActivity() {
+	if s.endSilence() {
+		s.RecordSuccess()
+	}
+}
+
+// endSilence reports whether the request was silent until now.
+func (s *Slot) endSilence() bool {
+	if !s.silent.Swap(false) {
+		return false
+	}
+	s.Endpoint.silent.Add(-1)
+	return true
+}
+
 // Release frees the slot.
 func (s *Slot) Release() {
 	s.finishPrefill()
+	s.endSilence()
 	s.Endpoint.Release()
 }
 
