--- a/entry/answer/engines_test.go
+++ b/entry/answer/engines_test.go
@@ -73,19 +73,24 @@
 	return s
 }
 
-// stream sends one request and returns the texts of the answer's tokens, and whether it came whole.
-func (s *system) stream(t *testing.T) (tokens []string, whole bool) {
+// send sends one request for a stream.
+func (s *system) send(t *testing.T) (*http.Response, error) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
-	defer cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
 	body := `{"model":"model","stream":true,"messages":[{"role":"user","content":"a prompt"}]}`
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.address+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
-		t.Error(err)
-		return nil, false
+		return nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+benchKey)
-	resp, err := http.DefaultClient.Do(r)
+	return http.DefaultClient.Do(r)
+}
+
+// stream sends one request and returns the texts of the answer's tokens, and whether it came whole.
+func (s *system) stream(t *testing.T) (tokens []string, whole bool) {
+	t.Helper()
+	resp, err := s.send(t)
 	if err != nil {
 		t.Error(err)
 		return nil, false
--- a/entry/answer/rejection_test.go
+++ b/entry/answer/rejection_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/problem"
@@ -58,3 +59,34 @@
 		})
 	}
 }
+
+// TestRefusalAfterLostAttemptIsUnknown guards against telling a caller that its request has not run because an engine has refused it, where
+// an engine that was asked before may have run it.
+func TestRefusalAfterLostAttemptIsUnknown(t *testing.T) {
+	for name, test := range map[string]struct {
+		first func(c *engineCall)
+		want  problem.Outcome
+	}{
+		"first broke":    {func(*engineCall) { panic(http.ErrAbortHandler) }, problem.Unknown},
+		"first rejected": {(*engineCall).reject, problem.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, 2, 4, time.Second, func(c *engineCall) {
+				if c.attempt == "1" {
+					test.first(c)
+					return
+				}
+				c.head(http.StatusBadRequest)
+			})
+			resp, err := s.send(t)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if got := resp.Header.Get(problem.HeaderOutcome); resp.StatusCode != http.StatusBadRequest || got != string(test.want) {
+				t.Errorf("status %d with outcome %q, want %q", resp.StatusCode, got, test.want)
+			}
+		})
+	}
+}
--- a/entry/answer/run.go
+++ b/entry/answer/run.go
@@ -37,6 +37,7 @@
 // another engine may be tried.
 func (s *Server) retryOrRefuse(ctx context.Context, x *exchange, attemptErr *attemptError) *problem.Problem {
 	if attemptErr.Refusal != nil {
+		attemptErr.Refusal.Outcome = x.outcome()
 		return attemptErr.Refusal
 	}
 	if errors.Is(context.Cause(ctx), process.ErrStopping) {
@@ -65,13 +66,17 @@
 	return true
 }
 
-// refusal returns a problem whose outcome is Unknown if an engine may have run the request, and NotRun otherwise.
+// refusal returns a problem whose outcome is that of the exchange.
 func (x *exchange) refusal(status int, format string, args ...any) *problem.Problem {
-	outcome := problem.NotRun
+	return problem.New(status, x.outcome(), format, args...).After(retryAfter)
+}
+
+// outcome returns Unknown if an engine may have run the request, and NotRun otherwise.
+func (x *exchange) outcome() problem.Outcome {
 	if x.mayHaveRun {
-		outcome = problem.Unknown
+		return problem.Unknown
 	}
-	return problem.New(status, outcome, format, args...).After(retryAfter)
+	return problem.NotRun
 }
 
 // sleep waits for d or until ctx ends.
