--- a/entry/service/inquiry.go
+++ b/entry/service/inquiry.go
@@ -98,11 +98,11 @@
 	return rejectedNotRun(t.resp)
 }
 
-// recordFailure ends a try that failed.
+// recordFailure ends a try that failed. The endpoint is not to blame if the caller is gone.
 func (q *inquiry) recordFailure(t *try) {
 	id := t.slot.State().Endpoint
 	q.mayHaveRun = q.mayHaveRun || !t.notRun()
-	if t.err != nil {
+	if t.err != nil && q.call.ctx.Err() == nil {
 		t.slot.RecordFailure(q.server.clock.Now())
 	}
 	q.failed = append(q.failed, id)
--- a/entry/service/silence_test.go
+++ b/entry/service/silence_test.go
@@ -24,7 +24,7 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// stall is the stall limit of the service server, testTimeout bounds each wait of a test.
+// stall is the stall limit of most service servers, testTimeout bounds each wait of a test.
 const (
 	stall       = 50 * time.Millisecond
 	testTimeout = 20 * time.Second
@@ -55,8 +55,8 @@
 	calls atomic.Int64
 }
 
-// newSystem starts a service server with n endpoints, which are given the number of the request, from 1.
-func newSystem(t *testing.T, n int, log lineWriter, serve func(n int64, w http.ResponseWriter, r *http.Request)) *system {
+// newSystem starts a service server with a stall limit and n endpoints, which are given the number of the request, from 1.
+func newSystem(t *testing.T, n int, stall time.Duration, log lineWriter, serve func(n int64, w http.ResponseWriter, r *http.Request)) *system {
 	t.Helper()
 	text, err := document.Encode(&document.Document{
 		EndpointKind: []document.EndpointKind{{Name: "kind", Serves: document.ServesService, Service: "service"}},
@@ -163,7 +163,7 @@
 					once.Do(func() { close(waited) })
 				}
 			}
-			s := newSystem(t, test.endpoints, log, func(_ int64, w http.ResponseWriter, r *http.Request) {
+			s := newSystem(t, test.endpoints, stall, log, func(_ int64, w http.ResponseWriter, r *http.Request) {
 				if !answerLate(w, r, waited) {
 					t.Error("the endpoint was left")
 				}
@@ -191,7 +191,7 @@
 			t.Parallel()
 			var once sync.Once
 			asked := make(chan struct{})
-			s := newSystem(t, 3, func(string) {}, func(n int64, w http.ResponseWriter, r *http.Request) {
+			s := newSystem(t, 3, stall, func(string) {}, func(n int64, w http.ResponseWriter, r *http.Request) {
 				if n > 1 {
 					once.Do(func() { close(asked) })
 					fail(w, r)
@@ -209,7 +209,7 @@
 // TestSilentEndpointIsReplaced checks that another endpoint answers for a silent one, which is then left.
 func TestSilentEndpointIsReplaced(t *testing.T) {
 	left := make(chan struct{})
-	s := newSystem(t, 2, func(string) {}, func(n int64, w http.ResponseWriter, r *http.Request) {
+	s := newSystem(t, 2, stall, func(string) {}, func(n int64, w http.ResponseWriter, r *http.Request) {
 		if n > 1 {
 			_, _ = io.WriteString(w, "instead")
 			return
@@ -232,7 +232,7 @@
 			once.Do(func() { close(waited) })
 		}
 	}
-	s := newSystem(t, 1, log, func(n int64, w http.ResponseWriter, r *http.Request) {
+	s := newSystem(t, 1, stall, log, func(n int64, w http.ResponseWriter, r *http.Request) {
 		if n == 1 {
 			answerLate(w, r, release)
 			return
@@ -250,3 +250,36 @@
 	close(release)
 	hung.Wait()
 }
+
+// TestCallerThatLeavesIsNoFailureOfItsEndpoint guards against sound endpoints that are avoided because a caller has left.
+func TestCallerThatLeavesIsNoFailureOfItsEndpoint(t *testing.T) {
+	reached, left := make(chan struct{}), make(chan struct{})
+	failed := make(chan string, 1)
+	log := func(line string) {
+		if strings.Contains(line, "attempt at an endpoint failed") {
+			failed <- line
+		}
+	}
+	s := newSystem(t, 1, testTimeout, log, func(_ int64, _ http.ResponseWriter, r *http.Request) {
+		close(reached)
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-reached
+		leave()
+	}()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.address+"/services/service/once", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.DefaultClient.Do(r); err == nil {
+		t.Error("the request was answered")
+	}
+	<-left
+	<-failed
+	if !endpoint.AnyUnpaused(s.directory.View().Service("service"), endpoint.Need{}, time.Now()) {
+		t.Error("the endpoint is avoided")
+	}
+}
