--- a/entry/serve.go
+++ b/entry/serve.go
@@ -109,7 +109,7 @@
 	p.recorder = billing.New(background, self, store, p.hub, clock, logger)
 	p.gate = admission.NewGate(p.current, documents, cfg.MaxRequests, logger)
 	control := peer.NewControl(background, self, p.hub, directory, queues, p.current, documents, clock, logger)
-	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, p.hub, clock, millis(cfg.StallMillis))
+	forwarder := peer.NewForwarder(self, p.peers(), cfg.PeerSecret, p.hub, clock, millis(cfg.WholeMillis))
 	claims := booking.NewClaims(store, self.Incarnation, clock)
 	p.answers = answer.NewServer(p.gate, directory, queues, p.recorder, forwarder, clock, p.answerLimits())
 	p.services = service.NewServer(process.ForceContext(ctx), p.gate, directory, queues, claims, p.recorder, forwarder, clock, p.serviceLimits())
@@ -192,12 +192,12 @@
 
 func (p *program) serviceLimits() service.Limits {
 	return service.Limits{
-		Body:           millis(p.cfg.BodyMillis),
-		Queue:          millis(p.cfg.QueueMillis),
-		ResponseHeader: millis(p.cfg.StallMillis),
-		Total:          millis(p.cfg.WholeMillis),
-		Claim:          millis(p.cfg.ClaimMillis),
-		Store:          millis(p.cfg.StoreMillis),
+		Body:  millis(p.cfg.BodyMillis),
+		Queue: millis(p.cfg.QueueMillis),
+		Stall: millis(p.cfg.StallMillis),
+		Total: millis(p.cfg.WholeMillis),
+		Claim: millis(p.cfg.ClaimMillis),
+		Store: millis(p.cfg.StoreMillis),
 	}
 }
 
@@ -280,10 +280,10 @@
 	}
 }
 
-// shutdownError replaces the error of a shutdown that ended early by one with the number of requests still in flight.
+// shutdownError replaces the error of a shutdown that ended early by one that says what was ended.
 func (p *program) shutdownError(err error) error {
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return &process.IncompleteShutdownError{What: fmt.Sprintf("%d requests", p.gate.InFlight())}
+		return &process.IncompleteShutdownError{What: "open requests"}
 	}
 	return err
 }
--- a/proof/slow_test.go
+++ b/proof/slow_test.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"cowslipshunt.example/shared/process"
+	"cowslipshunt.example/wire"
 )
 
 // bodyTimeout is the BodyMillis setting of the entries in TestSlowCallerIsRefused.
@@ -41,6 +45,70 @@
 	}
 }
 
+// TestLateAnswersAreNotRefused guards against refusals with 502 or 504 of requests whose endpoint is only late, in the caller's failure
+// domain or in the one to which the request is forwarded.
+func TestLateAnswersAreNotRefused(t *testing.T) {
+	p := smallPlan()
+	p.domains = []string{"a", "b"}
+	p.entrySettings = "StallMillis = 300\n"
+	s := newSystem(t, p)
+	startLeaseHolder(t, s, "a")
+	for _, m := range s.in("a") {
+		eventually(t, m.name+" lists endpoints", func() bool { return len(s.status(m).Endpoints) > 0 })
+	}
+	s.waitLinked(t)
+	s.post(s.endpointIn(s.services, "a").address, "/fault", wire.ServiceFault{DelayMillis: 1000})
+	for _, m := range []*instance{s.in("a")[0], s.in("b")[0]} {
+		for _, key := range []string{"", "key-" + m.name} {
+			if res := newCaller(testKey).book(m.address, "hall-"+m.name+key, key); res.status != http.StatusOK {
+				t.Errorf("%s, key %q: %d %s", m.name, key, res.status, res.body)
+			}
+		}
+		if res := newCaller(testKey).chat(m.address, "a long itinerary", 400); res.status != http.StatusOK {
+			t.Errorf("%s: a chat was answered %d %s", m.name, res.status, res.body)
+		}
+	}
+}
+
+// TestStopAnswersOpenRequests guards against requests that get neither an answer nor a refusal, as the entry reaches the end of a graceful
+// stop before their endpoint answers. A stream that has begun must be visibly cut.
+func TestStopAnswersOpenRequests(t *testing.T) {
+	p := smallPlan()
+	p.entrySettings = "LeaveMillis = 1000\nStopMillis = 300\n"
+	s := newReadySystem(t, p)
+	s.setServiceFaults(wire.ServiceFault{DelayMillis: 10_000})
+	for _, e := range s.engines {
+		s.post(e.address, "/fault", wire.EngineFault{StallAfterTokens: 3})
+	}
+	address := s.instances[0].address
+	requests := map[string]func() result{
+		"chat":            func() result { return newCaller(testKey).chat(address, "a venue", 10) },
+		"stream":          func() result { return newCaller(testKey).stream(address, "a venue", 10, nil) },
+		"booking":         func() result { return newCaller(testKey).book(address, "hall", "") },
+		"claimed booking": func() result { return newCaller(testKey).book(address, "room", "key") },
+	}
+	var work sync.WaitGroup
+	for name, send := range requests {
+		work.Go(func() {
+			res := send()
+			if name == "stream" {
+				if res.complete || res.err == nil || len(res.tokens) != 3 {
+					t.Errorf("%s: complete %v, %d tokens, err %v", name, res.complete, len(res.tokens), res.err)
+				}
+				return
+			}
+			if res.outcome != "Unknown" || res.status < http.StatusInternalServerError {
+				t.Errorf("%s: status %d, outcome %q, err %v", name, res.status, res.outcome, res.err)
+			}
+		})
+	}
+	eventually(t, "the chats are at their engines", func() bool { return len(s.engineRuns()) == 2 })
+	if code := s.instances[0].entry.stop(t); code != process.ExitIncomplete {
+		t.Errorf("the entry exited %d", code)
+	}
+	work.Wait()
+}
+
 // TestOversizedCallerIsRefused sends a body and a header that exceed an entry's limits. Both must be refused without reaching
 // an engine, and the next request must be served.
 func TestOversizedCallerIsRefused(t *testing.T) {
