--- a/serving/relay/silent_prefill_test.go
+++ b/serving/relay/silent_both_test.go
@@ -43,3 +43,16 @@
 		t.Errorf("got %v after %d runs, of at most 2", c, s.ran)
 	}
 }
+
+// TestThirdEndpointIsAskedWhenTwoAreSilent guards against requests that wait for two silent endpoints until their deadline though their route
+// allows a third run and another endpoint is open.
+func TestThirdEndpointIsAskedWhenTwoAreSilent(t *testing.T) {
+	s := &stepSender{runs: []step{answersAfter(time.Hour), answersAfter(time.Hour), answersAfter(0)}}
+	if c := playScriptWith(t, 200, 2, 3, s); !c.ended || s.ran != 3 || c.finished > worldTimeout/2 {
+		t.Errorf("got %v after %d runs", c, s.ran)
+	}
+	s = &stepSender{runs: []step{answersAfter(3 * time.Second), answersAfter(time.Hour), answersAfter(0)}}
+	if c := playScriptWith(t, 200, 1, 3, s); !c.ended || s.ran != 2 {
+		t.Errorf("with a budget of one send: got %v after %d runs", c, s.ran)
+	}
+}
--- a/serving/relay/silent_script_test.go
+++ b/serving/relay/silent_script_test.go
@@ -145,7 +145,13 @@
 // playScript serves a resumable stream by a script, with a retry budget of the given number of sends.
 func playScript(t *testing.T, tokens int, retries float64, s *stepSender) *worldCaller {
 	t.Helper()
-	p := &worldPlan{budget: []budgetChange{{slack: retries}}, tables: []tableChange{{maxAttempts: 2}}}
+	return playScriptWith(t, tokens, retries, 2, s)
+}
+
+// playScriptWith is like playScript, for a route that allows the given number of runs.
+func playScriptWith(t *testing.T, tokens int, retries float64, attempts int, s *stepSender) *worldCaller {
+	t.Helper()
+	p := &worldPlan{budget: []budgetChange{{slack: retries}}, tables: []tableChange{{maxAttempts: attempts}}}
 	p.stream(0).tokens = tokens
 	for _, stage := range []roster.Stage{roster.Prefill, roster.Decode} {
 		for i := range 3 {
