--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -133,7 +133,7 @@
 		return true
 	}
 	j.observe("Answered", s.exchange, status, "", nil)
-	j.caller.Answer(status, s.answer.Header, s.body)
+	j.unlocked(func() { j.caller.Answer(status, s.answer.Header, s.body) })
 	return true
 }
 
@@ -158,7 +158,7 @@
 			s.exchange.countEvent(j.relay.clock.Now())
 		}
 		j.forwardHead(s)
-		if err := j.caller.Event(event.Bytes); err != nil {
+		if err := j.deliver(&event); err != nil {
 			j.observe(StepAborted, s.exchange, s.answer.Status, "writing an event to the client failed", err)
 			j.caller.Abort()
 			return nil, true
@@ -170,6 +170,16 @@
 	}
 }
 
+// deliver writes an event to the caller, which may be slow. During a comment another endpoint may be asked still; then the lock is held, so that
+// no time limit runs meanwhile.
+func (j *job) deliver(e *Event) error {
+	if e.HasData {
+		j.mu.Unlock()
+		defer j.mu.Lock()
+	}
+	return j.caller.Event(e.Bytes)
+}
+
 // forwardHead passes on the head of a stream's first answer. A stream that is resumed keeps that head, so later ones are dropped.
 func (j *job) forwardHead(s *send) {
 	if j.streaming {
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -127,9 +127,14 @@
 
 // readWhole reads the body of an answer without the job's lock: a handover that was abandoned ends meanwhile.
 func (j *job) readWhole(s *send) {
+	j.unlocked(s.readWhole)
+}
+
+// unlocked calls do without the job's lock.
+func (j *job) unlocked(do func()) {
 	j.mu.Unlock()
 	defer j.mu.Lock()
-	s.readWhole()
+	do()
 }
 
 // rejected reports whether the endpoint did not run the request or the prefill.
--- a/serving/relay/silent_release_test.go
+++ b/serving/relay/silent_release_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,3 +77,35 @@
 	h.relay = relay.New(h.directory, s, h.recorder, h.recorder, clockwork.NewRealClock(), "a", bounds)
 	h.relay.SetTable(table(1))
 }
+
+// awaitingCaller takes the first event after the silence once no endpoint but the first one has load, or after awaitReleaseTime.
+type awaitingCaller struct {
+	fakeCaller
+	harness  *harness
+	released bool
+}
+
+// Event records an event.
+func (c *awaitingCaller) Event(e []byte) error {
+	if strings.HasPrefix(string(e), "id: 3") {
+		for end := time.Now().Add(awaitReleaseTime); !c.released && time.Now().Before(end); <-time.After(time.Millisecond) {
+			c.released = true
+			for id, other := range c.harness.directory.View().All() {
+				c.released = c.released && (string(id) == c.from || other.OwnInFlight() == 0)
+			}
+		}
+	}
+	return c.fakeCaller.Event(e)
+}
+
+// TestAbandonedSendIsReleasedThoughTheCallerIsSlow guards against the same while the caller takes its time for the event with which the endpoint
+// has gone on.
+func TestAbandonedSendIsReleasedThoughTheCallerIsSlow(t *testing.T) {
+	h := newHarness(firstThen(fallsSilent, hangs))
+	h.sender.onSilence = func() {}
+	c := &awaitingCaller{harness: h}
+	h.relay.Serve(t.Context(), &relay.Request{ID: "r", Arrived: time.Now(), Method: "POST", Path: "/resume/", Host: "h", Prompt: prompt()}, c)
+	if !c.ended || h.sender.runs != 2 || !c.released {
+		t.Errorf("ended %v after %d runs; the abandoned send was released before the event was taken: %v", c.ended, h.sender.runs, c.released)
+	}
+}
