--- a/serving/relay/silent_fleet_test.go
+++ b/serving/relay/silent_fleet_test.go
@@ -66,6 +66,8 @@
 	// commentEvery is how often comments are sent while no event is due; 0 for never.
 	commentEvery             time.Duration
 	prefillSilent, runSilent []span
+	// slow is how long its caller takes for each event.
+	slow time.Duration
 	// leavesAfter is how long its caller stays; 0 for as long as it takes.
 	leavesAfter time.Duration
 }
--- a/serving/relay/silent_handover_test.go
+++ b/serving/relay/silent_handover_test.go
@@ -144,6 +144,9 @@
 	if drawRarely(t, 4, "its prefill is silent") {
 		r.prefillSilent = []span{drawSilence(t, 200*time.Millisecond)}
 	}
+	if drawRarely(t, 6, "its caller is slow") {
+		r.slow = drawTicks(t, tick, 300*time.Millisecond, "slow")
+	}
 	if drawRarely(t, 8, "its caller leaves") {
 		r.leavesAfter = drawTicks(t, tick, horizon, "leaves after")
 	}
--- a/serving/relay/silent_world_test.go
+++ b/serving/relay/silent_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -62,7 +63,10 @@
 
 // worldCaller records what a caller gets.
 type worldCaller struct {
-	began   time.Time
+	began time.Time
+	// slow is how long it takes for each event; left is closed once it is gone.
+	slow    time.Duration
+	left    <-chan struct{}
 	status  int
 	body    string
 	events  []string
@@ -80,8 +84,16 @@
 }
 func (c *worldCaller) Begin(status int, _ relay.Header) { c.status = status }
 func (c *worldCaller) Event(e []byte) error {
-	if string(e) != comment {
-		c.events = append(c.events, string(e))
+	if string(e) == comment {
+		return nil
+	}
+	c.events = append(c.events, string(e))
+	if c.slow > 0 {
+		select {
+		case <-c.left:
+			return net.ErrClosed
+		case <-time.After(c.slow):
+		}
 	}
 	return nil
 }
@@ -210,6 +222,7 @@
 		prompt = placement.NewPrompt(r.tokens, 100, []placement.Part{{Name: "shared", Tokens: r.tokens / 2}, {Name: string(r.ID), Tokens: r.tokens - r.tokens/2}})
 	}
 	c := w.callers[r.ID]
+	c.slow, c.left = r.slow, ctx.Done()
 	w.relay.Serve(ctx, &relay.Request{ID: r.ID, Arrived: time.Now(), Method: "POST", Path: r.path, Host: "h", Key: string(r.ID), Prompt: prompt}, c)
 	c.served = w.fleet.now()
 }
