--- a/serving/relay/silent_both_test.go
+++ b/serving/relay/silent_both_test.go
@@ -36,7 +36,7 @@
 // again, and those that are asked meanwhile begin to run them.
 func TestAbandonedSendsCountAsRuns(t *testing.T) {
 	silentTwice := func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
-		return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {""}}, Body: &pausingBody{ctx: ctx, next: nextEvent(a), pause: 1500 * time.Millisecond, again: true}}, nil
+		return &relay.Answer{Status: 200, EventStream: true, Header: relay.Header{"From": {""}}, Body: &pausingBody{ctx: ctx, next: nextEvent(a), pause: 1300 * time.Millisecond, again: true}}, nil
 	}
 	s := &stepSender{runs: []step{silentTwice, answersAfter(time.Hour), answersAfter(time.Hour)}}
 	if c := playScript(t, 200, 5, s); !c.ended || s.ran != 2 {
