--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -70,7 +70,8 @@
 	})
 }
 
-// receiveElsewhere waits for the answer to n without the lock. An answer that is passed on whole is read to its end, as it may still break off.
+// receiveElsewhere waits for the answer to n without the lock. An answer that is passed on whole is read to its end first: it may break off, and
+// then the first endpoint is still needed.
 func (j *job) receiveElsewhere(n *send, resumes bool) {
 	j.mu.Unlock()
 	defer func() {
--- a/serving/relay/sequence.go
+++ b/serving/relay/sequence.go
@@ -63,8 +63,9 @@
 	return r.send.answer.Body.Next()
 }
 
-// next waits for the next event and returns it, as Body.Next does. While it waits, the request may be handed over. An event that may not follow the last one that was delivered is an error. What precedes the
-// first event of an answer that resumes a stream is dropped, as it need not be part of that stream.
+// next waits for the next event and returns it, as Body.Next does. While it waits, the request may be handed over. An event that may not follow
+// the last one that was delivered is an error. What precedes the first event of an answer that resumes a stream is dropped, as it need not be
+// part of that stream.
 func (r *eventReader) next() (Event, error) {
 	for {
 		event, err := r.receive()
