Require every listed field of an endpoint's entry, and let an unusable one change nothing

After an entry without a start, an endpoint that had said that it leaves, or asked for a pause, got requests again.

Cause: the decoder took version, cold_left_ms, sequence and born as optional, so that the id became a new incarnation of the service that the entry named. An entry that was not usable counted as deleted.

An unusable entry changes nothing that is believed of its id and isn't passed on to receivers of updates; an update whose listing has no start is rejected. It renews nothing: an endpoint whose entry is not written again within three heartbeat intervals, while the store answers, is dropped as if its entry had gone.

Changed tests: TestOddRowsAreLoggedOnceAndStopNoFollower wanted an endpoint with an unusable entry unlisted, which the page does not say; it now wants it listed until its row goes, also after the whole table was read again, and the lines as before.

--- a/router/odd_rows_test.go
+++ b/router/odd_rows_test.go
@@ -43,11 +43,17 @@
 		})
 	}
 	lists("none", false)
+	waitFor(t, "the lines about the first rows", func() bool { return countLines(output, "EndpointRejected") == len(odd) })
 	for range reads {
 		store.Put(platform.ReplicaTable, "i-b", platformtest.Entry("10.0.0.3:80", "ready"))
 		lists("i-b", true)
 		reread(t, f)
+		rejected := countLines(output, "EndpointRejected")
 		store.Put(platform.ReplicaTable, "i-b", odd["very deeply nested"])
+		waitFor(t, "the line about the endpoint's row", func() bool { return countLines(output, "EndpointRejected") == rejected+1 })
+		reread(t, f)
+		lists("i-b", true)
+		store.Delete(platform.ReplicaTable, "i-b")
 		lists("i-b", false)
 	}
 	if n := len(d.View().All()); n != 2 {
--- a/router/odd_updates_test.go
+++ b/router/odd_updates_test.go
@@ -52,6 +52,7 @@
 		"port 0":                  with(func(l *replication.Listing) { l.Address = "10.0.0.9:0" }),
 		"port out of range":       with(func(l *replication.Listing) { l.Address = "10.0.0.9:70000" }),
 		"negative slots":          with(func(l *replication.Listing) { l.Slots = -1 }),
+		"no start":                with(func(l *replication.Listing) { l.Born = 0 }),
 		"no service":              with(func(l *replication.Listing) { l.Service = "" }),
 		"versions in reverse":     {After: own, Version: own - 1, Newest: own},
 		"newest before the last":  {After: own, Version: next, Newest: own},
--- a/router/serve.go
+++ b/router/serve.go
@@ -97,7 +97,7 @@
 		file:        newSettingsFile(path),
 		logger:      logger,
 		self:        lease.Identity{Instance: s.Instance, Incarnation: wire.IncarnationId(uuid.NewString())},
-		directory:   roster.NewDirectory(),
+		directory:   roster.NewDirectory(roster.WithHeartbeat(s.Heartbeat)),
 		agreedClock: truetime.New(bootClock{}.Monotonic, time.Now),
 		pool:        link.NewPool[roster.Key](clock, link.DialEndpoint),
 		slackShare:  retry.NewSlackShare(s.Bounds.RetryWindow, clock.Now()),
--- a/router/table_followers.go
+++ b/router/table_followers.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"time"
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
-	"cowslipshunt.example/wire"
 	"github.com/phuslu/log"
 )
 
@@ -98,100 +96,3 @@
 	logger.Info().Int64("Version", int64(table.Version)).Int("RowVersion", row.Version).Int("Routes", table.Routes()).
 		Bool("Taken", applied).Msg("Configuration")
 }
-
-// newEndpointFollower returns a follower that keeps the directory up to date with the platform's replica table.
-func newEndpointFollower(store *platform.Store, d *roster.Directory, liveInstances func() int, other replicas, logger *log.Logger) *follower {
-	f := newFollower(store, platform.ReplicaTable, maxUpdateChanges, liveInstances, other, logger)
-	rejected := newRejectedRows(logger, platform.ReplicaTable, "EndpointRejected")
-	f.apply = func(rows []platform.Row, full bool) []replication.Change {
-		changes := make([]replication.Change, 0, len(rows))
-		for _, row := range rows {
-			changes = append(changes, decodeEndpoint(row, rejected))
-		}
-		applyEndpoints(changes, d, logger)
-		if full {
-			retainEndpoints(changes, d, logger)
-			rejected.retain(keysOf(rows))
-		}
-		return changes
-	}
-	f.applyChanges = func(changes []replication.Change) { applyEndpoints(changes, d, logger) }
-	f.onLost = d.StoreLost
-	f.onRegained = func() {
-		d.StoreRegained(time.Now())
-		time.AfterFunc(roster.LapseGrace, func() { dropLapsedEndpoints(d, logger) })
-	}
-	return f
-}
-
-// retainEndpoints removes the endpoints that the whole table does not list.
-func retainEndpoints(all []replication.Change, d *roster.Directory, logger *log.Logger) {
-	listed := map[wire.EndpointId]bool{}
-	for _, c := range all {
-		if c.Listing != nil {
-			listed[c.ID] = true
-		}
-	}
-	for _, id := range d.Retain(listed, time.Now()) {
-		logger.Info().Str("Endpoint", string(id)).Str("Reason", "not listed").Msg("EndpointGone")
-	}
-}
-
-// dropLapsedEndpoints drops the endpoints whose entries lapsed during a store outage and were not listed again within
-// roster.LapseGrace.
-func dropLapsedEndpoints(d *roster.Directory, logger *log.Logger) {
-	for _, id := range d.DropLapsed(time.Now()) {
-		logger.Info().Str("Endpoint", string(id)).Str("Reason", "lapsed and not listed again").Msg("EndpointGone")
-	}
-}
-
-// decodeEndpoint decodes one row of the replica table. A row that lists no usable endpoint counts as deleted.
-func decodeEndpoint(row platform.Row, rejected *rejectedRows) replication.Change {
-	version, id := replication.Version(row.Version), wire.EndpointId(row.Key)
-	if row.Deleted {
-		rejected.remove(row.Key)
-		return replication.NewChange(version, id, nil)
-	}
-	entry, err := platform.DecodeReplica(row)
-	if err != nil {
-		rejected.add(row.Key, row.Version, err)
-		return replication.NewChange(version, id, nil)
-	}
-	rejected.remove(row.Key)
-	return replication.NewChange(version, id, &entry)
-}
-
-// keysOf returns the keys of rows.
-func keysOf(rows []platform.Row) map[string]bool {
-	keys := make(map[string]bool, len(rows))
-	for _, r := range rows {
-		keys[r.Key] = true
-	}
-	return keys
-}
-
-// applyEndpoints applies changes to the directory in one view.
-func applyEndpoints(changes []replication.Change, d *roster.Directory, logger *log.Logger) {
-	d.Batch(func() {
-		for _, c := range changes {
-			applyEndpoint(c, d, logger)
-		}
-	})
-}
-
-func applyEndpoint(c replication.Change, d *roster.Directory, logger *log.Logger) {
-	entry := c.Entry()
-	if entry == nil {
-		if !d.Known(c.ID) {
-			return
-		}
-		removed := d.Remove(c.ID, time.Now())
-		logger.Info().Str("Endpoint", string(c.ID)).Int("RowVersion", int(c.Version)).Bool("Gone", removed).Msg("EndpointUnlisted")
-		return
-	}
-	if d.Put(*entry) {
-		logger.Info().Str("Endpoint", string(c.ID)).Int64("Born", entry.Born).Str("Service", string(entry.Service)).
-			Str("Domain", string(entry.Domain)).Str("Stage", entry.Stage.String()).Bool("Leaving", entry.Leaving).
-			Bool("Spot", entry.Spot).Int("RowVersion", int(c.Version)).Msg("Endpoint")
-	}
-}
--- a/serving/roster/directory.go
+++ b/serving/roster/directory.go
@@ -41,6 +41,10 @@
 	endpoints map[wire.EndpointId]*Endpoint
 	// lapsed are the endpoints whose entries disappeared during a store outage or its grace period.
 	lapsed map[wire.EndpointId]struct{}
+	// overwritten is since when the entries of endpoints are replaced by unusable ones.
+	overwritten map[wire.EndpointId]time.Time
+	// silence is how long an endpoint whose entry is overwritten stays listed; 0 means that it does until its entry disappears.
+	silence time.Duration
 	// unlisted are the restrictions of incarnations that are not listed, the oldest first.
 	unlisted []remembered
 	// storeDown is set during an outage of the store; graceEnd is when lapsed endpoints are dropped after it.
@@ -51,8 +55,13 @@
 }
 
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	d := &Directory{endpoints: map[wire.EndpointId]*Endpoint{}, lapsed: map[wire.EndpointId]struct{}{}}
+func NewDirectory(options ...Option) *Directory {
+	d := &Directory{
+		endpoints: map[wire.EndpointId]*Endpoint{}, lapsed: map[wire.EndpointId]struct{}{}, overwritten: map[wire.EndpointId]time.Time{},
+	}
+	for _, o := range options {
+		o(d)
+	}
 	d.view.Store(&View{})
 	return d
 }
@@ -85,6 +94,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.lapsed, entry.ID)
+	delete(d.overwritten, entry.ID)
 	e, known := d.endpoints[entry.ID]
 	if known && *e.Entry() == entry {
 		return false
@@ -168,6 +178,7 @@
 	}
 	delete(d.endpoints, id)
 	delete(d.lapsed, id)
+	delete(d.overwritten, id)
 }
 
 // retire marks an incarnation as removed.
--- a/serving/roster/entry.go
+++ b/serving/roster/entry.go
@@ -32,8 +32,8 @@
 	if e.Slots < 1 || e.Slots > maxSlots {
 		return fmt.Errorf("slots is %d, must be from 1 to %d", e.Slots, maxSlots)
 	}
-	if e.Born < 0 {
-		return fmt.Errorf("the start time is %d, must not be negative", e.Born)
+	if e.Born < 1 {
+		return fmt.Errorf("the start time is %d, must be positive", e.Born)
 	}
 	if e.Stage < NoStage || e.Stage > Decode {
 		return fmt.Errorf("unknown stage %d", int(e.Stage))
