Log requests that lie unread on connections that an instance closes

What callers saw: a try now and then ended without an answer, and no log had a line for it.

Cause: nothing was logged when an instance closed a connection on which a request lay. Whether such a try had crossed a close could not be told.

ClosedUnread now names the caller's address, the reason of the close and how long the connection was idle, and router_closed_unread_total counts them. The check is made when a connection closes.

--- a/router/logger.go
+++ b/router/logger.go
@@ -8,6 +8,7 @@
 	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
+	"cowslipshunt.example/shared/connections"
 	"cowslipshunt.example/shared/process"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
@@ -166,3 +167,10 @@
 	d.logger.Warn().Str("Event", c.Event.String()).Strs("PartIds", ids).Int("Crashes", c.Crashes).Bool("FromPeer", c.FromPeer).
 		Int64("LeftMillis", c.Left.Milliseconds()).Msg("PromptQuarantine")
 }
+
+// logClosedUnread logs and counts a request that was not read, or only in part, when this instance closed its connection.
+func (d decisionLog) logClosedUnread(u connections.Unread) {
+	metrics.GetOrCreateCounter(`router_closed_unread_total{reason="` + string(u.Reason) + `"}`).Inc()
+	d.logger.Info().Str("Caller", u.Remote.String()).Str("Reason", string(u.Reason)).Bool("Begun", u.Begun).
+		Int64("IdleMillis", u.Idle.Milliseconds()).Msg("ClosedUnread")
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -119,7 +119,7 @@
 		relay.WithQuarantine(n.quarantine))
 	n.callerHandler = &callerHandler{relay: n.relay, logger: logger}
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
-	n.callerConns = connections.Track(n.callerServer, clock)
+	n.callerConns = connections.Track(n.callerServer, clock, connections.WithUnreadObserver(observer.logClosedUnread))
 	return n
 }
 
--- a/shared/connections/conn.go
+++ b/shared/connections/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cowslipshunt.example/shared/link"
@@ -15,16 +16,26 @@
 // conn is a tracked connection. It is active from the first byte of a request until its answer has been written.
 type conn struct {
 	net.Conn
+	tracker *Tracker
 	// headerTimeout bounds the time from the first byte of a request to the last one of its head; 0 means no bound.
 	headerTimeout time.Duration
+	opened        time.Time
+	// unanswered is set by the first byte of a request and cleared by the first one of its answer.
+	unanswered atomic.Bool
 
 	mu sync.Mutex
+	// unused is set until the first byte was read.
+	unused bool
 	// idleSince is when the connection became idle; zero while it is active or new.
 	idleSince time.Time
 	// idleTimeout is the one that was in force when the connection became idle.
 	idleTimeout time.Duration
 	// expired is set once expire has ended the server's wait for the next request.
 	expired bool
+	// expiry is why expire did so.
+	expiry CloseReason
+	// readErr is the last error of a read since the connection became active.
+	readErr error
 }
 
 // Read reads from the connection, which is active once it has returned a byte.
@@ -33,9 +44,26 @@
 	if n > 0 {
 		c.markActive()
 	}
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.readErr = err
+	}
 	return n, err
 }
 
+// Write writes a part of an answer.
+func (c *conn) Write(p []byte) (int, error) {
+	c.unanswered.Store(false)
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and reports a request that lies on it.
+func (c *conn) Close() error {
+	c.reportUnread()
+	return c.Conn.Close()
+}
+
 // CloseWrite closes the writing side, which lets net/http send a final answer to a caller that is still writing.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -54,11 +82,16 @@
 func (c *conn) markActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.unused {
+		c.unused = false
+		c.unanswered.Store(true)
+	}
 	if c.idleSince.IsZero() {
 		return
 	}
+	c.unanswered.Store(true)
 	c.idleSince = time.Time{}
-	c.expired = false
+	c.expired, c.readErr = false, nil
 	// net/http bounds the time for a head only once it has read four bytes. Until then the connection would stay open for ever.
 	deadline := time.Time{}
 	if c.headerTimeout > 0 {
@@ -83,7 +116,7 @@
 
 // expire ends the server's wait for the next request if the connection has been idle for longer than timeout and its caller has sent
 // nothing; the server then closes the connection. It reports whether it did so for the first time.
-func (c *conn) expire(now time.Time, timeout func(promised time.Duration) time.Duration) bool {
+func (c *conn) expire(now time.Time, reason CloseReason, timeout func(promised time.Duration) time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() || now.Sub(c.idleSince) <= timeout(c.idleTimeout) || link.HasUnread(c.Conn) {
@@ -92,6 +125,6 @@
 	// net/http may reset the deadline while it begins to wait. The next call then sets it again.
 	_ = c.SetReadDeadline(longAgo)
 	first := !c.expired
-	c.expired = true
+	c.expired, c.expiry = true, reason
 	return first
 }
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -27,6 +27,8 @@
 	draining atomic.Bool
 	// idleTimeout is that of connections that become idle now, in nanoseconds; 0 means that they do not expire.
 	idleTimeout atomic.Int64
+	// unread receives requests that were not read, if it is not nil.
+	unread func(Unread)
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
@@ -35,8 +37,11 @@
 
 // Track returns a tracker for the connections that srv accepts from listeners that Listener returned. It sets the ConnState of srv and
 // wraps its handler, so it has to be called before srv serves.
-func Track(srv *http.Server, clock clockwork.Clock) *Tracker {
+func Track(srv *http.Server, clock clockwork.Clock, options ...Option) *Tracker {
 	t := &Tracker{server: srv, clock: clock, open: map[*conn]struct{}{}}
+	for _, o := range options {
+		o(t)
+	}
 	srv.ConnState = t.connState
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -69,23 +74,23 @@
 	if timeout <= 0 {
 		return 0
 	}
-	return t.closeIdle(func(promised time.Duration) time.Duration { return max(promised, timeout) })
+	return t.closeIdle(IdleLimit, func(promised time.Duration) time.Duration { return max(promised, timeout) })
 }
 
 // CloseIdle makes the server close all idle connections, and returns how many these are.
 func (t *Tracker) CloseIdle() int {
-	return t.closeIdle(func(time.Duration) time.Duration { return 0 })
+	return t.closeIdle(Stop, func(time.Duration) time.Duration { return 0 })
 }
 
 // closeIdle makes the server close the connections that have been idle for longer than a timeout, which depends on the one that was in
 // force when they became idle.
-func (t *Tracker) closeIdle(timeout func(promised time.Duration) time.Duration) int {
+func (t *Tracker) closeIdle(reason CloseReason, timeout func(promised time.Duration) time.Duration) int {
 	now := t.clock.Now()
 	closed := 0
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.open {
-		if c.expire(now, timeout) {
+		if c.expire(now, reason, timeout) {
 			closed++
 		}
 	}
@@ -187,7 +192,8 @@
 	l.used.Store(true)
 	c, err := l.Listener.Accept()
 	if err == nil {
-		return &conn{Conn: c, headerTimeout: l.tracker.server.ReadHeaderTimeout}, nil
+		t := l.tracker
+		return &conn{Conn: c, tracker: t, headerTimeout: t.server.ReadHeaderTimeout, opened: t.clock.Now(), unused: true}, nil
 	}
 	if !errors.Is(err, net.ErrClosed) {
 		return nil, err
--- a/shared/link/conn.go
+++ b/shared/link/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -130,19 +131,32 @@
 // HasUnread reports whether a connection has bytes that were not read yet, or has ended. It does not block, also while another
 // goroutine reads from the connection. For connections that are no sockets it returns false.
 func HasUnread(c net.Conn) bool {
+	n, err := peek(c)
+	return n > 0 || !errors.Is(err, syscall.EAGAIN)
+}
+
+// HasBytes is like HasUnread, but returns false for a connection that has ended and has no bytes left.
+func HasBytes(c net.Conn) bool {
+	n, _ := peek(c)
+	return n > 0
+}
+
+// peek returns how many bytes can be read from a connection at once, up to 1. The error is EAGAIN if there are none yet; connections that are
+// no sockets count as such.
+func peek(c net.Conn) (int, error) {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EAGAIN
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	unread := true
+	var n int
+	var recvErr error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = !errors.Is(err, syscall.EAGAIN)
+		n, _, recvErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err != nil || unread
+	return n, cmp.Or(err, recvErr)
 }
