Serve requests that arrive just before an idle connection closes

What callers saw: a request sent at the moment of an idle close, at the limit or at a stop, was reset, although it had arrived.

Cause: an idle connection is closed by a read deadline in the past. A request that arrived between the last look for unread bytes and the moment at which the server's goroutine ran again was never read, and the close reset it. On a busy instance, or when many connections are closed at once, that takes milliseconds.

The goroutine now looks again once its wait has ended, and reads on if a request has arrived. Between that look and the close it does not wait for anything. A request that was not read at the close is never read afterwards, so its caller may send it again.

--- a/shared/connections/conn.go
+++ b/shared/connections/conn.go
@@ -30,7 +30,7 @@
 	idleSince time.Time
 	// idleTimeout is the one that was in force when the connection became idle.
 	idleTimeout time.Duration
-	// expired is set once expire has ended the server's wait for the next request.
+	// expired is set while expire has ended the server's wait for the next request.
 	expired bool
 	// expiry is why expire did so.
 	expiry CloseReason
@@ -41,6 +41,9 @@
 // Read reads from the connection, which is active once it has returned a byte.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for n == 0 && err != nil && c.resume() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.markActive()
 	}
@@ -52,6 +55,17 @@
 	return n, err
 }
 
+// resume takes back the end of the wait for the next request if a request has arrived since, and reports whether it did.
+func (c *conn) resume() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expired || !link.HasBytes(c.Conn) {
+		return false
+	}
+	c.expired = false
+	return c.SetReadDeadline(time.Time{}) == nil
+}
+
 // Write writes a part of an answer.
 func (c *conn) Write(p []byte) (int, error) {
 	c.unanswered.Store(false)
--- a/shared/connections/unread_test.go
+++ b/shared/connections/unread_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,20 +19,27 @@
 	clock   *clockwork.FakeClock
 	conns   *connections.Tracker
 	unread  chan connections.Unread
+	// idle is set while the connection that changed its state last is idle.
+	idle atomic.Bool
 }
 
 // newObservedServer returns a server of the connections that l accepts.
-func newObservedServer(t *testing.T, headerTimeout time.Duration, handle http.HandlerFunc, wrap func(net.Listener) net.Listener) *observedServer {
+func newObservedServer(t *testing.T, headerTimeout time.Duration, handle http.HandlerFunc, wrap func(*observedServer, net.Listener) net.Listener) *observedServer {
 	t.Helper()
 	s := &observedServer{t: t, clock: clockwork.NewFakeClock(), unread: make(chan connections.Unread, 10)}
 	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: handle}
 	s.conns = connections.Track(server, s.clock, connections.WithUnreadObserver(func(u connections.Unread) { s.unread <- u }))
+	track := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		track(c, state)
+		s.idle.Store(state == http.StateIdle)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.address = l.Addr().String()
-	go func() { _ = server.Serve(s.conns.Listener(wrap(l))) }()
+	go func() { _ = server.Serve(s.conns.Listener(wrap(s, l))) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
@@ -62,7 +70,7 @@
 	}
 }
 
-func plain(l net.Listener) net.Listener { return l }
+func plain(_ *observedServer, l net.Listener) net.Listener { return l }
 
 // TestRequestThatWasNotReadIsReported guards against requests that end without an answer and without a trace: the server closes their
 // connection after the answer before, or at the end of the time for a head.
