Serve the connections in a listener's queue before closing it

What callers saw: as an instance stopped, requests on connections that were open to their callers were reset.

Cause: at the end of the time in which a stopping instance still accepts connections, the listener was closed at once. The kernel resets the connections that wait in its queue, with the requests that their callers have already sent.

The goroutine that accepts now closes the listener itself, when it has looked at the queue and found it empty, or after a second. Nothing happens between the look and the close. Listeners whose queue cannot be looked at are closed at once, as before.

--- a/shared/connections/shutdown_test.go
+++ b/shared/connections/shutdown_test.go
@@ -136,3 +136,76 @@
 		t.Errorf("the request got no answer: %v", err)
 	}
 }
+
+// fullListener holds back the first connection, so that those after it wait in the kernel's queue. stopping is closed once the listener is
+// asked to stop.
+type fullListener struct {
+	*net.TCPListener
+	accept, stop                sync.Once
+	accepted, release, stopping chan struct{}
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	l.accept.Do(func() {
+		close(l.accepted)
+		<-l.release
+	})
+	return c, err
+}
+
+func (l *fullListener) Close() error {
+	err := l.TCPListener.Close()
+	l.stop.Do(func() { close(l.stopping) })
+	return err
+}
+
+func (l *fullListener) SetDeadline(t time.Time) error {
+	err := l.TCPListener.SetDeadline(t)
+	l.stop.Do(func() { close(l.stopping) })
+	return err
+}
+
+// TestConnectionsInQueueAsServerShutsDownAreServed guards against requests that are reset: their connections are open to their callers, and
+// wait in the kernel's queue as the listener is closed.
+func TestConnectionsInQueueAsServerShutsDownAreServed(t *testing.T) {
+	var l *fullListener
+	s := newObservedServer(t, waitTimeout, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}, func(_ *observedServer, inner net.Listener) net.Listener {
+		l = &fullListener{TCPListener: inner.(*net.TCPListener), accepted: make(chan struct{}), release: make(chan struct{}), stopping: make(chan struct{})}
+		return l
+	})
+	callers := []net.Conn{s.dial(wholeRequest)}
+	<-l.accepted
+	for range 5 {
+		callers = append(callers, s.dial(wholeRequest))
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.conns.Shutdown(t.Context()) }()
+	<-l.stopping
+	close(l.release)
+	for i, c := range callers {
+		_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("request %d got no answer: %v", i, err)
+			continue
+		}
+		if !resp.Close {
+			t.Errorf("answer %d does not ask the caller to close the connection", i)
+		}
+	}
+	if !holdsInTime(func() bool {
+		s.clock.Advance(time.Second)
+		return len(stopped) == 1
+	}) {
+		t.Fatal("the shutdown does not end")
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("the shutdown returned %v", err)
+	}
+	if !isRefused(s.address) {
+		t.Error("the listener is open after the shutdown")
+	}
+}
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -126,19 +125,20 @@
 	}
 }
 
-// closeListeners closes the listeners and waits until the server has taken all connections that they accepted.
+// closeListeners closes the listeners once the server has taken the connections that callers have opened.
 func (t *Tracker) closeListeners(ctx context.Context) error {
 	t.mu.Lock()
 	listeners := t.listeners
 	t.mu.Unlock()
 	for _, l := range listeners {
-		_ = l.Close()
+		l.stopAccepting()
 		if !l.used.Load() {
 			continue
 		}
 		select {
 		case <-l.ended:
 		case <-ctx.Done():
+			_ = l.Close()
 			return ctx.Err()
 		}
 	}
@@ -167,40 +167,3 @@
 		delete(t.open, tracked)
 	}
 }
-
-// listener accepts tracked connections.
-type listener struct {
-	net.Listener
-	tracker *Tracker
-	// used is set once Accept was called. ended is closed once it has failed because the listener is closed: by then the server has taken
-	// all connections that Accept returned before.
-	used   atomic.Bool
-	ended  chan struct{}
-	finish sync.Once
-	closed sync.Once
-}
-
-// Close closes the listener. Later calls do nothing: http.Server reports the error of a second close as one of its shutdown.
-func (l *listener) Close() error {
-	var err error
-	l.closed.Do(func() { err = l.Listener.Close() })
-	return err
-}
-
-// Accept waits for the next connection. Once Shutdown has closed the listener, it returns http.ErrServerClosed.
-func (l *listener) Accept() (net.Conn, error) {
-	l.used.Store(true)
-	c, err := l.Listener.Accept()
-	if err == nil {
-		t := l.tracker
-		return &conn{Conn: c, tracker: t, headerTimeout: t.server.ReadHeaderTimeout, opened: t.clock.Now(), unused: true}, nil
-	}
-	if !errors.Is(err, net.ErrClosed) {
-		return nil, err
-	}
-	l.finish.Do(func() { close(l.ended) })
-	if l.tracker.draining.Load() {
-		return nil, http.ErrServerClosed
-	}
-	return nil, err
-}
--- a/shared/connections/unread_test.go
+++ b/shared/connections/unread_test.go
@@ -39,7 +39,8 @@
 		t.Fatal(err)
 	}
 	s.address = l.Addr().String()
-	go func() { _ = server.Serve(s.conns.Listener(wrap(s, l))) }()
+	tracked := s.conns.Listener(wrap(s, l))
+	go func() { _ = server.Serve(tracked) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
