Let connections be idle before their first request

What callers saw: a request on a connection that had been opened ahead of it, and not used for 5 s, met the close of that connection, also where the configuration lets connections be idle for longer. Callers that open connections ahead reuse them like others.

Cause: net/http bounds the time from the opening of a connection to the end of its first head by the limit for heads (5 s here), whatever the idle limit is.

A new connection now counts as idle from its opening until its first byte, which begins the time for the head. At a stop, one that was not used stays open for 5 s from its opening, as before, as its first request may be on its way. Servers without an idle limit (entry) behave as before. That callers of the platform open connections ahead is not shown.

--- a/shared/connections/conn.go
+++ b/shared/connections/conn.go
@@ -13,7 +13,8 @@
 // longAgo is a read deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
-// conn is a tracked connection. It is active from the first byte of a request until its answer has been written.
+// conn is a tracked connection. It is active from the first byte of a request until its answer has been written. A new one is idle if the
+// tracker has an idle timeout; without one, the server bounds the time until its first request.
 type conn struct {
 	net.Conn
 	tracker *Tracker
@@ -26,7 +27,7 @@
 	mu sync.Mutex
 	// unused is set until the first byte was read.
 	unused bool
-	// idleSince is when the connection became idle; zero while it is active or new.
+	// idleSince is when the connection became idle; zero while it is active.
 	idleSince time.Time
 	// idleTimeout is the one that was in force when the connection became idle.
 	idleTimeout time.Duration
@@ -63,7 +64,18 @@
 		return false
 	}
 	c.expired = false
-	return c.SetReadDeadline(time.Time{}) == nil
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// SetReadDeadline sets the deadline of reads. The time for the head of the first request begins with its first byte, so deadlines before it
+// have no effect on a connection that may be idle.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unused && !c.idleSince.IsZero() {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Write writes a part of an answer.
@@ -111,7 +123,7 @@
 	if c.headerTimeout > 0 {
 		deadline = time.Now().Add(c.headerTimeout)
 	}
-	_ = c.SetReadDeadline(deadline)
+	_ = c.Conn.SetReadDeadline(deadline)
 }
 
 // markServing ends the idle time of a connection whose request has been read without a read from the connection.
@@ -124,7 +136,7 @@
 	c.idleSince = time.Time{}
 	if c.expired {
 		c.expired = false
-		_ = c.SetReadDeadline(time.Time{})
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -133,11 +145,16 @@
 func (c *conn) expire(now time.Time, reason CloseReason, timeout func(promised time.Duration) time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || now.Sub(c.idleSince) <= timeout(c.idleTimeout) || link.HasUnread(c.Conn) {
+	limit := timeout(c.idleTimeout)
+	if c.unused {
+		// The first request of a new connection is on its way.
+		limit = max(limit, c.headerTimeout)
+	}
+	if c.idleSince.IsZero() || now.Sub(c.idleSince) <= limit || link.HasUnread(c.Conn) {
 		return false
 	}
 	// net/http may reset the deadline while it begins to wait. The next call then sets it again.
-	_ = c.SetReadDeadline(longAgo)
+	_ = c.Conn.SetReadDeadline(longAgo)
 	first := !c.expired
 	c.expired, c.expiry = true, reason
 	return first
--- a/shared/connections/listener.go
+++ b/shared/connections/listener.go
@@ -58,8 +58,7 @@
 	l.used.Store(true)
 	c, err := l.acceptQueued()
 	if err == nil {
-		t := l.tracker
-		return &conn{Conn: c, tracker: t, headerTimeout: t.server.ReadHeaderTimeout, opened: t.clock.Now(), unused: true}, nil
+		return l.tracker.newConn(c), nil
 	}
 	if !errors.Is(err, net.ErrClosed) {
 		return nil, err
--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -76,7 +76,7 @@
 	return t.closeIdle(IdleLimit, func(promised time.Duration) time.Duration { return max(promised, timeout) })
 }
 
-// CloseIdle makes the server close all idle connections, and returns how many these are.
+// CloseIdle makes the server close all idle connections but those that have just been opened, and returns how many these are.
 func (t *Tracker) CloseIdle() int {
 	return t.closeIdle(Stop, func(time.Duration) time.Duration { return 0 })
 }
@@ -145,6 +145,16 @@
 	return nil
 }
 
+// newConn returns a new connection.
+func (t *Tracker) newConn(c net.Conn) *conn {
+	now := t.clock.Now()
+	tracked := &conn{Conn: c, tracker: t, headerTimeout: t.server.ReadHeaderTimeout, opened: now, unused: true}
+	if timeout := time.Duration(t.idleTimeout.Load()); timeout > 0 {
+		tracked.idleSince, tracked.idleTimeout = now, timeout
+	}
+	return tracked
+}
+
 // connState records when a connection opens, becomes idle and closes. It is a callback for http.Server.ConnState.
 func (t *Tracker) connState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
