--- a/shared/connections/tracker.go
+++ b/shared/connections/tracker.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -27,6 +26,8 @@
 	draining atomic.Bool
 	// idleTimeout is that of connections that become idle now, in nanoseconds; 0 means that they do not expire.
 	idleTimeout atomic.Int64
+	// unread receives requests that were not read, if it is not nil.
+	unread func(Unread)
 
 	mu        sync.Mutex
 	open      map[*conn]struct{}
@@ -35,8 +36,11 @@
 
 // Track returns a tracker for the connections that srv accepts from listeners that Listener returned. It sets the ConnState of srv and
 // wraps its handler, so it has to be called before srv serves.
-func Track(srv *http.Server, clock clockwork.Clock) *Tracker {
+func Track(srv *http.Server, clock clockwork.Clock, options ...Option) *Tracker {
 	t := &Tracker{server: srv, clock: clock, open: map[*conn]struct{}{}}
+	for _, o := range options {
+		o(t)
+	}
 	srv.ConnState = t.connState
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -69,23 +73,23 @@
 	if timeout <= 0 {
 		return 0
 	}
-	return t.closeIdle(func(promised time.Duration) time.Duration { return max(promised, timeout) })
+	return t.closeIdle(IdleLimit, func(promised time.Duration) time.Duration { return max(promised, timeout) })
 }
 
-// CloseIdle makes the server close all idle connections, and returns how many these are.
+// CloseIdle makes the server close all idle connections but those that have just been opened, and returns how many these are.
 func (t *Tracker) CloseIdle() int {
-	return t.closeIdle(func(time.Duration) time.Duration { return 0 })
+	return t.closeIdle(Stop, func(time.Duration) time.Duration { return 0 })
 }
 
 // closeIdle makes the server close the connections that have been idle for longer than a timeout, which depends on the one that was in
 // force when they became idle.
-func (t *Tracker) closeIdle(timeout func(promised time.Duration) time.Duration) int {
+func (t *Tracker) closeIdle(reason CloseReason, timeout func(promised time.Duration) time.Duration) int {
 	now := t.clock.Now()
 	closed := 0
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.open {
-		if c.expire(now, timeout) {
+		if c.expire(now, reason, timeout) {
 			closed++
 		}
 	}
@@ -121,25 +125,36 @@
 	}
 }
 
-// closeListeners closes the listeners and waits until the server has taken all connections that they accepted.
+// closeListeners closes the listeners once the server has taken the connections that callers have opened.
 func (t *Tracker) closeListeners(ctx context.Context) error {
 	t.mu.Lock()
 	listeners := t.listeners
 	t.mu.Unlock()
 	for _, l := range listeners {
-		_ = l.Close()
+		l.stopAccepting()
 		if !l.used.Load() {
 			continue
 		}
 		select {
 		case <-l.ended:
 		case <-ctx.Done():
+			_ = l.Close()
 			return ctx.Err()
 		}
 	}
 	return nil
 }
 
+// newConn returns a new connection.
+func (t *Tracker) newConn(c net.Conn) *conn {
+	now := t.clock.Now()
+	tracked := &conn{Conn: c, tracker: t, headerTimeout: t.server.ReadHeaderTimeout, opened: now, unused: true}
+	if timeout := time.Duration(t.idleTimeout.Load()); timeout > 0 {
+		tracked.idleSince, tracked.idleTimeout = now, timeout
+	}
+	return tracked
+}
+
 // connState records when a connection opens, becomes idle and closes. It is a callback for http.Server.ConnState.
 func (t *Tracker) connState(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
@@ -162,39 +177,3 @@
 		delete(t.open, tracked)
 	}
 }
-
-// listener accepts tracked connections.
-type listener struct {
-	net.Listener
-	tracker *Tracker
-	// used is set once Accept was called. ended is closed once it has failed because the listener is closed: by then the server has taken
-	// all connections that Accept returned before.
-	used   atomic.Bool
-	ended  chan struct{}
-	finish sync.Once
-	closed sync.Once
-}
-
-// Close closes the listener. Later calls do nothing: http.Server reports the error of a second close as one of its shutdown.
-func (l *listener) Close() error {
-	var err error
-	l.closed.Do(func() { err = l.Listener.Close() })
-	return err
-}
-
-// Accept waits for the next connection. Once Shutdown has closed the listener, it returns http.ErrServerClosed.
-func (l *listener) Accept() (net.Conn, error) {
-	l.used.Store(true)
-	c, err := l.Listener.Accept()
-	if err == nil {
-		return &conn{Conn: c, headerTimeout: l.tracker.server.ReadHeaderTimeout}, nil
-	}
-	if !errors.Is(err, net.ErrClosed) {
-		return nil, err
-	}
-	l.finish.Do(func() { close(l.ended) })
-	if l.tracker.draining.Load() {
-		return nil, http.ErrServerClosed
-	}
-	return nil, err
-}
