Keep a silent endpoint until the other one sends an event

Callers saw a stream cut though its endpoint was sound: that one fell silent for a second or so, another one took the stream over with the head of its answer, and broke off, or began with another event than the next. With no attempt left nothing could go on with the stream.

Cause: the first connection was closed with the head of the other endpoint's answer. That is the class of "to give up what works before its replacement is certain": a head shows that the endpoint was reached, not that it goes on.

Now the stream of the other endpoint is read up to its first event while the first connection stays open, for 250 ms after the head at most. If it breaks off or begins wrong in that time, the first endpoint still has the stream, and another one is asked where attempts and budget allow. If the first one goes on before, the other is dropped, as before. Where the first one has failed and two others have the request, both are kept in the same way. What is sent, paid for and counted as a run does not change.

Tests: the property test of the silent fleet lets later runs of a request reject, fall silent or break off, after their head or an event, and checks that no stream is given up for an endpoint that broke off soon after its head.

--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -15,6 +15,8 @@
 	// asked are the sends whose endpoints have not answered, accepted is that to the endpoint that has taken the request over, or nil.
 	asked    []*send
 	accepted *send
+	// begun are the sends of which the head of a stream has arrived and no event yet.
+	begun []*send
 	// firstFailed is set once the first endpoint no longer has the request.
 	firstFailed bool
 	// over is set, and done closed, once no endpoint is asked any more.
@@ -37,6 +39,11 @@
 	if h == nil {
 		h = &handover{first: s, done: make(chan struct{})}
 	}
+	if len(h.begun) > 0 {
+		// One of them takes the request over within maxOverlap, or another endpoint is asked.
+		s.watchdog.resume()
+		return
+	}
 	n, reason := j.newSuccessor(ctx, h)
 	if n != nil {
 		j.observeSilence(h, s, n)
@@ -92,32 +99,39 @@
 		return
 	}
 	h.forget(n)
-	if j.recordReceived(ctx, n) && j.accepts(n) {
-		h.accepted = n
-		j.endHandover(h)
-		h.first.watchdog.cancel(errNoData)
-		return
+	switch {
+	case !j.recordReceived(ctx, n) || !j.accepts(n):
+		n.close()
+		j.askNext(ctx, h)
+	case h.hasOther() && !n.attempt.PrefillOnly && n.forwardsStream(j.route, j.streaming):
+		j.lookAhead(ctx, h, n)
+	default:
+		j.takeOver(h, n)
 	}
-	n.close()
-	j.askNext(ctx, h)
 }
 
 // askFailed ends a send that has panicked.
 func (j *job) askFailed(ctx context.Context, h *handover, n *send) {
+	if h.accepted == n {
+		return
+	}
 	n.close()
 	if h.over {
 		return
 	}
 	if slices.Contains(h.asked, n) {
-		h.forget(n)
 		j.countAsked(n)
 	}
+	h.forget(n)
 	j.askNext(ctx, h)
 }
 
-// askNext asks another endpoint in place of one that has not accepted the request. Once the first endpoint has failed too, the serving goroutine
+// askNext asks another endpoint in place of one that has not accepted the request, unless one has begun to answer. Once the first endpoint has failed too, the serving goroutine
 // goes on by itself.
 func (j *job) askNext(ctx context.Context, h *handover) {
+	if len(h.begun) > 0 {
+		return
+	}
 	if !h.firstFailed && ctx.Err() == nil {
 		n, reason := j.newSuccessor(ctx, h)
 		if n != nil {
@@ -166,6 +180,9 @@
 		return nil
 	}
 	h.firstFailed = true
+	if len(h.begun) == 1 && len(h.asked) == 0 {
+		j.takeOver(h, h.begun[0])
+	}
 	if !h.over {
 		j.mu.Unlock()
 		<-h.done
@@ -215,6 +232,10 @@
 		n.watchdog.close()
 		j.countAsked(n)
 	}
+	for _, n := range h.begun {
+		n.watchdog.close()
+		j.meterOnce()
+	}
 	close(h.done)
 }
 
@@ -227,7 +248,14 @@
 	}
 }
 
-// forget removes a send from those whose endpoints have not answered.
+// hasOther reports whether another endpoint has the request than that of a send that is neither in asked nor in begun.
+func (h *handover) hasOther() bool {
+	return !h.firstFailed || len(h.asked)+len(h.begun) > 0
+}
+
+// forget removes a send from those that may take the request over.
 func (h *handover) forget(n *send) {
-	h.asked = slices.DeleteFunc(h.asked, func(s *send) bool { return s == n })
+	isN := func(s *send) bool { return s == n }
+	h.asked = slices.DeleteFunc(h.asked, isN)
+	h.begun = slices.DeleteFunc(h.begun, isN)
 }
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -28,6 +28,8 @@
 	body   []byte
 	read   bool
 	handle string
+	// ahead is what was read of a stream before it was followed, or nil.
+	ahead *lookahead
 }
 
 // newSend returns a send that adds the given number of tokens to prefill to the endpoint's load. It must be closed.
@@ -60,9 +62,7 @@
 
 // close ends the exchange with the endpoint.
 func (s *send) close() {
-	if s.answer != nil {
-		s.answer.Body.Close()
-	}
+	s.closeBody()
 	s.watchdog.close()
 	s.release()
 }
--- a/serving/relay/sequence.go
+++ b/serving/relay/sequence.go
@@ -60,7 +60,7 @@
 func (r *eventReader) receive() (Event, error) {
 	r.job.beginWait(r.send)
 	defer r.job.endWait(r.send)
-	return r.send.answer.Body.Next()
+	return r.send.nextEvent()
 }
 
 // next waits for the next event and returns it, as Body.Next does. While it waits, the request may be handed over. An event that may not follow
@@ -78,13 +78,18 @@
 			}
 			continue
 		}
-		if !r.placed && event.ID == "" {
-			return Event{}, errNoEventID
-		}
-		if err := r.job.sequence.check(&event, r.job.lastEvent, r.resumes); err != nil {
+		if err := r.check(&event); err != nil {
 			return Event{}, err
 		}
 		r.placed = true
 		return event, nil
 	}
 }
+
+// check returns an error if an event with data may not follow the last one that was delivered.
+func (r *eventReader) check(e *Event) error {
+	if !r.placed && e.ID == "" {
+		return errNoEventID
+	}
+	return r.job.sequence.check(e, r.job.lastEvent, r.resumes)
+}
--- a/serving/relay/silent_handover_test.go
+++ b/serving/relay/silent_handover_test.go
@@ -141,6 +141,11 @@
 	if drawRarely(t, 3, "is silent") {
 		r.runSilent = []span{drawSilence(t, time.Second)}
 	}
+	if drawRarely(t, 3, "its later runs have trouble") {
+		for range rapid.IntRange(1, 3).Draw(t, "later runs") {
+			r.laterRuns = append(r.laterRuns, drawLaterRun(t))
+		}
+	}
 	if drawRarely(t, 4, "its prefill is silent") {
 		r.prefillSilent = []span{drawSilence(t, 200*time.Millisecond)}
 	}
--- a/serving/relay/successor.go
+++ b/serving/relay/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cowslipshunt.example/serving/placement"
@@ -39,7 +40,7 @@
 		return nil, quarantineReason
 	}
 	need, now := j.needElsewhere(h.first.endpoint), j.relay.clock.Now()
-	for _, n := range h.asked {
+	for _, n := range slices.Concat(h.asked, h.begun) {
 		need.Excluded = append(need.Excluded, n.endpoint.Entry().ID)
 	}
 	eligible := j.endpoints(need)
