Log how the connection of a caller that has gone ended

Whoever traced a stream that ended with "the client disconnected" could not tell from the log a caller that had closed its connection from one whose connection was reset, that could not be written to, or whose request the instance had ended itself by a deadline: the error of each was "context canceled", as net/http cancels the request without a cause.

The connection now keeps the error of its last read or write, and the context of the request carries it as its cause, which the line at the end of a request logs already: "connection of the caller: EOF", "... connection reset by peer", "... i/o timeout". The reason and its metric stay as they are. A caller that closes only its own direction reads as EOF, too; the two cannot be told apart before something is written.

The cost of the context for each request was not measured.

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -56,7 +56,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	caller := platform.NewCaller(w)
-	h.serve(r.Context(), req, caller)
+	ctx, release := callerContext(r)
+	defer release()
+	h.serve(ctx, req, caller)
 	metrics.GetOrCreateHistogram("router_request_seconds").UpdateDuration(arrived)
 	if caller.Err != nil {
 		h.logUndelivered(req, caller.Err)
@@ -124,6 +126,7 @@
 func newCallerServer(ctx context.Context, h *callerHandler) *http.Server {
 	return &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext:       withCallerConn,
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/router/serve.go
+++ b/router/serve.go
@@ -185,7 +185,7 @@
 // listen starts the instance's HTTP servers.
 func (n *node) listen(o options) error {
 	s := n.settings.Load()
-	if err := serveAt(n.callerServer, s.CallerAddress, n.listenErrs, n.callerConns.Listener); err != nil {
+	if err := serveAt(n.callerServer, s.CallerAddress, n.listenErrs, listenForCallers, n.callerConns.Listener); err != nil {
 		return err
 	}
 	readyServer := newReadyServer(func() bool { return n.relay.Table() != nil && !n.callerHandler.stopping.Load() })
