Let the listener of callers' connections show its queue

A stop serves the connections in its listener's queue only if the listener can be looked at. The listener that keeps how a caller's connection ended hid the TCP listener, so that the queue was closed at once again.

TestCallersListenerHasItsQueue is red on the merge before.

--- a/router/caller_conn.go
+++ b/router/caller_conn.go
@@ -60,23 +60,26 @@
 	return ctx
 }
 
-// callerListener accepts connections as callerConn.
+// callerListener accepts connections as callerConn. It has the methods of a TCP listener, by which a stop serves the connections in its queue.
 type callerListener struct {
-	net.Listener
+	*net.TCPListener
 }
 
-// listenForCallers wraps a listener.
+// listenForCallers wraps a TCP listener, and leaves others as they are.
 func listenForCallers(l net.Listener) net.Listener {
-	return callerListener{l}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		return callerListener{tcp}
+	}
+	return l
 }
 
 // Accept waits for the next connection.
 func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp}, err
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	return &callerConn{TCPConn: c}, nil
 }
 
 // CallerGoneError is the cause of the end of a request whose caller has disconnected.
--- a/router/caller_conn_test.go
+++ b/router/caller_conn_test.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"cowslipshunt.example/platform/platformtest"
 )
@@ -43,3 +45,19 @@
 	}
 	return ""
 }
+
+// TestCallersListenerHasItsQueue guards against requests that are reset at a stop: connections in the queue of a listener are served before it
+// closes only if the queue can be looked at through all wrappers.
+func TestCallersListenerHasItsQueue(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	wrapped := listenForCallers(l)
+	_, seen := wrapped.(syscall.Conn)
+	_, ended := wrapped.(interface{ SetDeadline(time.Time) error })
+	if !seen || !ended {
+		t.Errorf("the wrapped listener is seen as a socket: %v, and has a deadline: %v", seen, ended)
+	}
+}
