Bound what the bodies of requests in progress hold

Cause: each body was read whole, into buffers that double, before anything was decided; only its own length was bounded. The heap could grow to twice what was in use.

Fix: serving/intake holds one budget for all bodies, a quarter of limits.memory_mb (responses keep theirs, another quarter). Bytes are reserved before a body is read and returned when the request has ended. What does not fit waits up to 0.4 s if room is expected by then, the workspace that holds the least first, or is refused with 503 and the time in which it is. An eighth is for bodies up to 64 KB only. Nothing that was passed on is dropped. The refusal is sent first and the rest of the body read and dropped, as a caller that is still writing finds its connection reset otherwise. Bodies that stop for 5 s, or take longer than 30 s or the caller's time, give their memory back. The runtime collects garbage before the heap exceeds three quarters of the memory, which the budgets for what is in use do not ensure by themselves.

Changed tests: three construct the handler by its new constructor, with a budget.

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/intake"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/route"
 	"github.com/VictoriaMetrics/metrics"
@@ -22,8 +20,6 @@
 const (
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
-	// defaultMaxBodyBytes bounds a request's body unless the configuration sets a limit.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // requestRelay serves requests. It is implemented by *relay.Relay.
@@ -38,23 +34,35 @@
 type callerHandler struct {
 	relay  requestRelay
 	logger *log.Logger
+	// memory is what the bodies of all requests may take.
+	memory *intake.Budget
 	// stopping is set when the instance stops. Answers then carry "Connection: close", so that callers connect to another instance.
 	stopping atomic.Bool
 }
 
+// newCallerHandler returns a handler that passes requests to r and holds their bodies in memory.
+func newCallerHandler(r requestRelay, memory *intake.Budget, logger *log.Logger) *callerHandler {
+	metrics.GetOrCreateGauge("router_request_body_bytes", func() float64 { return float64(memory.Held()) })
+	return &callerHandler{relay: r, memory: memory, logger: logger}
+}
+
 // ServeHTTP passes one request to the relay. It aborts the connection if the caller breaks off the request's body or the answer is
 // incomplete.
 func (h *callerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	r.Body = http.MaxBytesReader(w, r.Body, h.maxBodyBytes())
-	req, err := platform.DecodeRequest(r, arrived)
-	if err != nil {
-		h.refuseUnread(w, r, err)
-		return
-	}
+	req := platform.DecodeRequest(r, arrived)
+	body := h.openBody(w, r, req)
+	defer body.hold.Release()
+	var err error
+	req.Body, err = body.readWhole(r.Context())
+	h.logMemory(req, body, err)
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if err != nil {
+		h.refuseUnread(w, body, err)
+		return
+	}
 	caller := platform.NewCaller(w)
 	h.serve(r.Context(), req, caller)
 	metrics.GetOrCreateHistogram("router_request_seconds").UpdateDuration(arrived)
@@ -66,22 +74,6 @@
 	}
 }
 
-// refuseUnread refuses a request whose body could not be read. It aborts the connection if the caller broke off, as no answer can reach it.
-func (h *callerHandler) refuseUnread(w http.ResponseWriter, r *http.Request, err error) {
-	h.logger.Info().Str("Request", platform.RequestID(r.Header)).Err(err).Msg("RequestUnread")
-	var tooLong *http.MaxBytesError
-	var network net.Error
-	switch {
-	case errors.As(err, &tooLong):
-		platform.NewCaller(w).Refuse(relay.Refusal{Verdict: relay.TooLarge, Reason: fmt.Sprintf("the body exceeds %d bytes", tooLong.Limit)})
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
-		panic(http.ErrAbortHandler)
-	default:
-		w.Header().Set("Connection", "close")
-		platform.NewCaller(w).Refuse(relay.Refusal{Verdict: relay.Malformed, Reason: "the body cannot be read: " + err.Error()})
-	}
-}
-
 // serve passes a request to the relay. If that panics, the caller gets a refusal that promises nothing, or an incomplete answer.
 func (h *callerHandler) serve(ctx context.Context, req *relay.Request, caller *platform.Caller) {
 	defer func() {
@@ -105,21 +97,6 @@
 	h.logger.Info().Str("Request", string(req.ID)).Int64("AgeMillis", time.Since(req.Arrived).Milliseconds()).Err(err).Msg("Undelivered")
 }
 
-func (h *callerHandler) maxBodyBytes() int64 {
-	if n := h.limits().MaxBody; n > 0 {
-		return n
-	}
-	return defaultMaxBodyBytes
-}
-
-// limits returns the limits of the configuration in force, or zero limits if there is no configuration yet.
-func (h *callerHandler) limits() route.Limits {
-	if t := h.relay.Table(); t != nil {
-		return t.Limits
-	}
-	return route.Limits{}
-}
-
 // newCallerServer returns the HTTP server for callers' connections. All requests end with ctx.
 func newCallerServer(ctx context.Context, h *callerHandler) *http.Server {
 	return &http.Server{
--- a/router/cmd_serve.go
+++ b/router/cmd_serve.go
@@ -31,6 +31,7 @@
 			if err != nil {
 				return err
 			}
+			limitHeap(settings.MemoryBytes)
 			return serve(cmd.Context(), settings, o, newLogger(cmd.OutOrStdout(), o.LogLevel, settings.Instance))
 		},
 	}
--- a/router/panics_test.go
+++ b/router/panics_test.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/intake"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/route"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 )
 
 // panickingRelay panics for each request, after the head of a stream if begins is set.
@@ -41,7 +43,7 @@
 func TestPanicFailsOneRequestOnly(t *testing.T) {
 	for _, begins := range []bool{false, true} {
 		output := &logBuffer{}
-		h := &callerHandler{relay: panickingRelay{begins: begins}, logger: newLogger(output, "debug", "i")}
+		h := newCallerHandler(panickingRelay{begins: begins}, intake.New(clockwork.NewRealClock(), shareOf(0)), newLogger(output, "debug", "i"))
 		server := httptest.NewServer(h)
 		defer server.Close()
 		for range 2 {
--- a/router/serve.go
+++ b/router/serve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -14,6 +13,7 @@
 	"time"
 
 	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/intake"
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
@@ -42,19 +42,6 @@
 	endTimeout = 200 * time.Millisecond
 )
 
-// Bounds of the bytes of responses that an instance holds in memory.
-const (
-	// heldMemoryShare is the fraction of the instance's memory, as a divisor, that responses may take.
-	heldMemoryShare = 4
-	// defaultMemoryBytes applies if the settings do not state the memory.
-	defaultMemoryBytes = 184 << 20
-)
-
-// heldBytes returns how many bytes of responses an instance with the given memory may hold; 0 means that the memory is not known.
-func heldBytes(memory int64) int64 {
-	return cmp.Or(memory, defaultMemoryBytes) / heldMemoryShare
-}
-
 // cleanUpInterval is the interval at which cleanUp is called and the settings file is checked for changes.
 const cleanUpInterval = 500 * time.Millisecond
 
@@ -114,10 +101,10 @@
 	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer))
 	n.quarantine = quarantine.New(clock, quarantine.WithRank(n.peerLoads.Rank), quarantine.WithObserver(observer.logQuarantine))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
-	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(heldBytes(s.MemoryBytes)))
+	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(shareOf(s.MemoryBytes)))
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent),
 		relay.WithQuarantine(n.quarantine))
-	n.callerHandler = &callerHandler{relay: n.relay, logger: logger}
+	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
 	n.callerConns = connections.Track(n.callerServer, clock)
 	return n
--- a/router/undelivered_test.go
+++ b/router/undelivered_test.go
@@ -8,8 +8,10 @@
 	"strings"
 	"testing"
 
+	"cowslipshunt.example/serving/intake"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/route"
+	"github.com/jonboulle/clockwork"
 )
 
 // lateRelay answers each request after its caller has disconnected.
@@ -26,7 +28,7 @@
 // them reports no error.
 func TestUndeliveredAnswerIsLogged(t *testing.T) {
 	out := &logBuffer{}
-	server := newCallerServer(t.Context(), &callerHandler{relay: lateRelay{}, logger: newLogger(out, "debug", "a")})
+	server := newCallerServer(t.Context(), newCallerHandler(lateRelay{}, intake.New(clockwork.NewRealClock(), shareOf(0)), newLogger(out, "debug", "a")))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/router/unread_test.go
+++ b/router/unread_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/serving/intake"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/route"
+	"github.com/jonboulle/clockwork"
 )
 
 // limitedRelay has a configuration that limits the bodies of requests. It answers the requests that reach it with status 200.
@@ -32,7 +34,7 @@
 // the limit of bodies, or a body is malformed.
 func TestRequestWithUnreadableBodyIsRefused(t *testing.T) {
 	const limit = 1000
-	server := newCallerServer(t.Context(), &callerHandler{relay: limitedRelay{maxBody: limit}, logger: newLogger(io.Discard, "debug", "a")})
+	server := newCallerServer(t.Context(), newCallerHandler(limitedRelay{maxBody: limit}, intake.New(clockwork.NewRealClock(), shareOf(0)), newLogger(io.Discard, "debug", "a")))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
