Let a pause hold for the incarnation that asked for it before it was listed

Cause: until that entry comes, answers under the id count as those of the earlier incarnation, and so did the pause; the new one began without it.

Fix: the pauses that were asked for are kept with the time of the answer. As an incarnation is listed for the first time, it takes over those that earlier ones under its id are believed to have asked for at or after its start. A pause asked for before that is not taken over. This compares the instance's time of day with the endpoint's start: where the instance's clock runs ahead by more than the time between the answer and the start, a new incarnation may wait for the end of the earlier one's pause; where it runs behind, all is as before. An answer that comes after the listing, of a request sent before it, still counts for the earlier one.

Changed test: TestNewIncarnationAskedForNoPause had a new incarnation that started in 1970, long before the earlier one asked; it now starts a millisecond after that. It checks the same.

--- a/router/requested_pause_test.go
+++ b/router/requested_pause_test.go
@@ -97,3 +97,54 @@
 		return strings.Contains(log, `"message":"EndpointPauseRequested"`) && strings.Contains(log, `"message":"EndpointPauseEnded"`)
 	})
 }
+
+// TestPauseOutlastsTheFirstHeartbeat guards against requests to an endpoint that started again under its id and asked for a pause before its
+// first heartbeat, once the entry of the new incarnation is listed.
+func TestPauseOutlastsTheFirstHeartbeat(t *testing.T) {
+	var mu sync.Mutex
+	pauses, asked := false, 0
+	x := startInstance(t, func(r *http.Request, body []byte) (string, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if pauses {
+			asked++
+			return platformtest.RetryAfter(platformtest.Rejection(r, http.StatusServiceUnavailable), "60"), true
+		}
+		return respondDone(r, body)
+	})
+	other := platformtest.NewReplica(t, respondDone)
+	x.configure(1, "k")
+	x.listEndpoint("i-1", "ready")
+	x.store.Put(platform.ReplicaTable, "i-2", platformtest.Entry(other.Address, "ready"))
+	n := 0
+	post := func() int {
+		n++
+		status, _ := x.post(fmt.Sprint(n), "k")
+		return status
+	}
+	x.eventually("requests at both endpoints", func() bool {
+		return post() == http.StatusOK && len(x.endpoint.Headers()) > 10 && len(other.Headers()) > 10
+	})
+	restarted := time.Now()
+	mu.Lock()
+	pauses = true
+	mu.Unlock()
+	x.eventually("a pause that the endpoint asks for", func() bool { post(); return countLines(x.log, "EndpointPauseRequested") == 1 })
+	x.store.Put(platform.ReplicaTable, "i-1", platformtest.EntryFields(x.endpoint.Address, restarted.UnixMilli(), false).Entry())
+	x.eventually("the entry of the new incarnation", func() bool {
+		return strings.Contains(x.log.String(), fmt.Sprintf(`"Born":%d`, restarted.UnixMilli()))
+	})
+	mu.Lock()
+	before := asked
+	mu.Unlock()
+	for range 40 {
+		if status := post(); status != http.StatusOK {
+			t.Errorf("got status %d though the other endpoint works", status)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if asked > before {
+		t.Errorf("%d of 40 requests reached the endpoint in the pause that it asked for", asked-before)
+	}
+}
--- a/serving/roster/directory.go
+++ b/serving/roster/directory.go
@@ -104,7 +104,7 @@
 		known = false
 	}
 	if !known {
-		e = &Endpoint{hash: xxhash.Sum64String(string(entry.ID)), restrictions: d.recall(entry.Key)}
+		e = &Endpoint{hash: xxhash.Sum64String(string(entry.ID)), restrictions: d.restrict(entry.Key)}
 		d.endpoints[entry.ID] = e
 	}
 	e.entry.Store(&entry)
--- a/serving/roster/requested_pause.go
+++ b/serving/roster/requested_pause.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,9 @@
 // probeTimeout is for how long a probe without an answer holds back other requests. An endpoint that is still full rejects a probe at once.
 const probeTimeout = time.Second
 
+// maxAskedPauses bounds the answers that are kept for an incarnation that is listed later. A few of different lengths may overlap.
+const maxAskedPauses = 8
+
 // pauseNoticeStep is by how much a pause has to be prolonged to be news: the answers to a burst of requests ask for pauses that end within
 // milliseconds of each other.
 const pauseNoticeStep = 100 * time.Millisecond
@@ -24,6 +28,13 @@
 	mu sync.Mutex
 	// events counts the answers that asked for a pause, and the probes; lastAsked and lastProbe are the numbers of the last of each.
 	events, lastAsked, lastProbe int64
+	// asked are the answers that asked for pauses since the last accepted probe, without those that a later one has outlasted.
+	asked []askedPause
+}
+
+// askedPause is an answer that asked for a pause: when it came and when the pause ends, in Unix nanoseconds.
+type askedPause struct {
+	at, end int64
 }
 
 // Probe is a request to an endpoint after a pause that the endpoint asked for. The zero Probe is a request that is none.
@@ -47,6 +58,7 @@
 	p.lastAsked = p.events
 	p.probeUntil.Store(0)
 	previous, until := p.until.Load(), now.Add(d).UnixNano()
+	p.keep(askedPause{at: now.UnixNano(), end: until})
 	if until <= previous {
 		return time.Unix(0, previous), false
 	}
@@ -54,6 +66,28 @@
 	return time.Unix(0, until), now.UnixNano() >= previous || until-previous >= int64(pauseNoticeStep)
 }
 
+// keep remembers an answer that asked for a pause.
+func (p *requestedPause) keep(a askedPause) {
+	p.asked = slices.DeleteFunc(p.asked, func(x askedPause) bool { return x.at <= a.at && x.end <= a.end })
+	p.asked = append(p.asked, a)
+	if len(p.asked) > maxAskedPauses {
+		p.asked = slices.Delete(p.asked, 0, len(p.asked)-maxAskedPauses)
+	}
+}
+
+// inherit takes over the pauses that an earlier incarnation is believed to have asked for after the start of this one, in Unix milliseconds:
+// this one has asked for them, before it was listed.
+func (p *requestedPause) inherit(earlier *requestedPause, born int64) {
+	earlier.mu.Lock()
+	asked := slices.Clone(earlier.asked)
+	earlier.mu.Unlock()
+	for _, a := range asked {
+		if at := time.Unix(0, a.at); at.UnixMilli() >= born {
+			p.ask(at, time.Duration(a.end-a.at))
+		}
+	}
+}
+
 // admit reports whether a request may be sent now, and makes it the probe if it is the first after a pause.
 func (p *requestedPause) admit(now time.Time) (Probe, bool) {
 	if p.until.Load() == 0 {
@@ -91,6 +125,7 @@
 	}
 	if accepted {
 		p.until.Store(0)
+		p.asked = nil
 	}
 	if accepted || number == p.lastProbe {
 		p.probeUntil.Store(0)
--- a/serving/roster/requested_pause_test.go
+++ b/serving/roster/requested_pause_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 	d := roster.NewDirectory()
 	old := newEndpoint(d, "a", 1)
 	old.MarkPauseRequested(start, time.Minute)
-	e := newEndpoint(d, "a", 2)
+	e := newEndpoint(d, "a", start.UnixMilli()+1)
 	old.MarkPauseRequested(start, time.Minute)
 	if probe, admitted := e.Admit(start); !admitted || probe != (roster.Probe{}) || !e.Available(start) {
 		t.Error("the new incarnation gets no requests, or a probe first")
@@ -124,14 +125,67 @@
 	}
 }
 
+// bornOf returns the start of the nth incarnation under an id. The second and third are listed late at times, the fourth before its start.
+func bornOf(n int64) int64 {
+	return start.UnixMilli() + (n-1)*3000
+}
+
+// TestPauseHoldsForTheIncarnationThatAsked guards against requests to an endpoint that started again under its id and asked for a pause before
+// its first heartbeat, so that the answer seemed to be that of the earlier incarnation, and against a pause of the earlier one that the new one
+// has not asked for.
+func TestPauseHoldsForTheIncarnationThatAsked(t *testing.T) {
+	const pause = 4 * time.Second
+	born := start.UnixMilli()
+	relist := map[string]func(d *roster.Directory){
+		"its row changes": func(d *roster.Directory) { d.Put(entry("a", born)) },
+		"its row disappears and returns": func(d *roster.Directory) {
+			d.Remove("a", start)
+			d.Put(entry("a", born))
+		},
+		"a peer says that it leaves": func(d *roster.Directory) {
+			d.MarkLeaving(roster.Key{ID: "a", Born: born})
+			d.Put(entry("a", born))
+		},
+	}
+	for name, put := range relist {
+		for asked, want := range map[time.Duration]bool{-time.Millisecond: false, 0: true, time.Second: true} {
+			d := roster.NewDirectory()
+			newEndpoint(d, "a", born-60_000).MarkPauseRequested(start.Add(asked), pause)
+			put(d)
+			e := d.View().All()["a"]
+			until, lasts := e.PauseRequested(start.Add(pause - 2*time.Millisecond))
+			if lasts != want || want && !until.Equal(start.Add(asked+pause)) {
+				t.Errorf("%s, asked %v after its start: a pause %v until %v, want %v", name, asked, lasts, until, want)
+			}
+		}
+	}
+	d := roster.NewDirectory()
+	old := newEndpoint(d, "a", born-60_000)
+	old.MarkPauseRequested(start.Add(-time.Second), time.Hour)
+	old.MarkPauseRequested(start.Add(time.Second), pause)
+	if until, _ := newEndpoint(d, "a", born).PauseRequested(start); !until.Equal(start.Add(time.Second + pause)) {
+		t.Errorf("the pause ends at %v, which the earlier incarnation has asked for", until)
+	}
+	if until, _ := newEndpoint(d, "b", born).PauseRequested(start); until.After(start) {
+		t.Errorf("another endpoint has a pause until %v", until)
+	}
+}
+
 // TestNoRequestIsSentInARequestedPause lets answers, failures, successes, rows, reports and time come in any order. No request may be sent
-// to an incarnation in a pause that it asked for, whatever was chosen before; after it one is sent before the others, unless it has had no
+// to an incarnation in a pause that it asked for, whatever was chosen before, and also if it asked before it was listed, as it answered requests
+// to an earlier incarnation under its id; after it one is sent before the others, unless it has had no
 // answer for a second; one that has never asked gets all.
 func TestNoRequestIsSentInARequestedPause(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := roster.NewDirectory()
 		now := start
-		seen := []*roster.Endpoint{newEndpoint(d, "a", 1)}
+		seen := []*roster.Endpoint{newEndpoint(d, "a", bornOf(1))}
+		type asking struct {
+			key     roster.Key
+			at, end time.Time
+		}
+		var asked []asking
+		listed := map[roster.Key]bool{seen[0].Entry().Key: true}
 		forbiddenUntil := map[roster.Key]time.Time{}
 		unproved := map[roster.Key]bool{}
 		type sent struct {
@@ -149,6 +203,7 @@
 				if end := now.Add(d); end.After(forbiddenUntil[k]) {
 					forbiddenUntil[k] = end
 				}
+				asked = append(asked, asking{key: k, at: now, end: now.Add(d)})
 				unproved[k] = true
 				for i := range open {
 					if open[i].key == k {
@@ -161,7 +216,17 @@
 			"succeeds": func(*rapid.T) { endpoint().MarkWorking() },
 			"reports":  func(t *rapid.T) { endpoint().SetSuspected(rapid.Bool().Draw(t, "suspected")) },
 			"row": func(t *rapid.T) {
-				e := entry("a", rapid.Int64Range(1, 3).Draw(t, "born"))
+				e := entry("a", bornOf(rapid.Int64Range(1, 4).Draw(t, "born")))
+				for _, a := range asked {
+					if listed[e.Key] || a.key.Born >= e.Born || a.at.UnixMilli() < e.Born {
+						continue
+					}
+					unproved[e.Key] = true
+					if a.end.After(forbiddenUntil[e.Key]) {
+						forbiddenUntil[e.Key] = a.end
+					}
+				}
+				listed[e.Key] = true
 				e.Slots = rapid.IntRange(1, 3).Draw(t, "slots")
 				d.Put(e)
 				seen = append(seen, d.View().All()[e.ID])
@@ -201,6 +266,7 @@
 				s.probe.End(accepted)
 				if accepted && !s.at.IsZero() {
 					unproved[s.key] = false
+					asked = slices.DeleteFunc(asked, func(a asking) bool { return a.key == s.key })
 				}
 			},
 			"": func(t *rapid.T) {
--- a/serving/roster/restrictions.go
+++ b/serving/roster/restrictions.go
@@ -17,6 +17,8 @@
 	toldHere atomic.Bool
 	// pause is the pause that the endpoint has asked this instance for.
 	pause requestedPause
+	// listed is set once the incarnation has been listed. It is guarded by the directory's mutex.
+	listed bool
 	// malformed is set once the endpoint has asked for a pause in a form that has no meaning.
 	malformed atomic.Bool
 }
@@ -35,7 +37,23 @@
 	}
 }
 
-// recall returns the restrictions of an incarnation that is listed from now on.
+// restrict returns the restrictions of an incarnation that is listed from now on. If it is new, it may have answered requests that were sent
+// to an earlier one under its id, and may have asked for a pause in these answers.
+func (d *Directory) restrict(k Key) *restrictions {
+	r := d.recall(k)
+	if r.listed {
+		return r
+	}
+	r.listed = true
+	for _, earlier := range d.unlisted {
+		if earlier.key.ID == k.ID && earlier.key.Born < k.Born {
+			r.pause.inherit(&earlier.restrictions.pause, k.Born)
+		}
+	}
+	return r
+}
+
+// recall takes the restrictions of an incarnation out of those that are remembered. They are empty if there are none.
 func (d *Directory) recall(k Key) *restrictions {
 	i := slices.IndexFunc(d.unlisted, func(r remembered) bool { return r.key == k })
 	if i < 0 {
