Keep an endpoint that has begun until the first one sends an event

Callers would have seen a stream cut, or refused as Unknown: the first endpoint was silent before its head, the other one had sent its head, the first one then sent its own and broke off.

Cause: the head of the first endpoint ended the handover although the other one had begun; the class of "to give up what works before its replacement is certain" once more. The first event now decides between two endpoints that have both begun.

--- a/serving/relay/handover.go
+++ b/serving/relay/handover.go
@@ -172,6 +172,12 @@
 	return j.handover != nil && j.handover.accepted != nil
 }
 
+// othersBegan reports whether another endpoint has begun to answer, or has taken the request over. Then the head of a stream from the first one
+// is not enough for it to go on.
+func (j *job) othersBegan() bool {
+	return j.handover != nil && (j.handover.accepted != nil || len(j.handover.begun) > 0)
+}
+
 // awaitHandover waits for the endpoints that are asked, as the first one has failed. It returns the send to the one that has accepted the
 // request, or nil.
 func (j *job) awaitHandover() *send {
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -96,7 +96,7 @@
 	if !s.forwardsStream(j.route, j.streaming) {
 		return j.forwardAnswer(ctx, s)
 	}
-	if !j.wasHandedOver() {
+	if !j.othersBegan() {
 		j.goOn(s)
 	}
 	return j.forwardStream(ctx, s)
--- a/serving/relay/takeover_test.go
+++ b/serving/relay/takeover_test.go
@@ -132,3 +132,26 @@
 		}
 	}
 }
+
+// lateHeadThenBreaks sends the head of a stream after a time and then breaks off.
+func lateHeadThenBreaks(d, after time.Duration) step {
+	return func(ctx context.Context, a *relay.Attempt) (*relay.Answer, error) {
+		select {
+		case <-ctx.Done():
+			return nil, net.ErrClosed
+		case <-time.After(d):
+		}
+		return breaksOffAfterHead(after, 0)(ctx, a)
+	}
+}
+
+// TestOtherEndpointIsKeptUntilTheFirstSendsAnEvent guards against streams that are cut although another endpoint had begun to answer them: the
+// first endpoint, silent for a while, sent the head of a stream and broke off, and no attempt was left.
+func TestOtherEndpointIsKeptUntilTheFirstSendsAnEvent(t *testing.T) {
+	for d := 50 * time.Millisecond; d <= 3*time.Second; d += 25 * time.Millisecond {
+		s := &stepSender{runs: []step{lateHeadThenBreaks(d, 50*time.Millisecond), headThen(200*time.Millisecond, 0)}}
+		if c := playScriptWith(t, 200, 5, 2, s); !c.ended || strings.Join(c.events, "") != completeStream() {
+			t.Errorf("first head after %v: got %v after %d sends: %q", d, c, s.ran, c.events)
+		}
+	}
+}
