Read the rest of a refused body that the caller was asked for

Found in review. A caller that awaited 100 Continue, was asked for a body of unknown length and then found no memory for the rest of it, got a reset in place of the refusal if it wrote before it read.

Cause: the rest of the body was left unread for each caller that had sent Expect, also once the body had been asked for.

--- a/router/body_handler.go
+++ b/router/body_handler.go
@@ -90,7 +90,7 @@
 // the end of a connection with unread bytes may destroy the refusal. The connection is aborted if the rest does not come.
 func (h *callerHandler) refuseEarly(w http.ResponseWriter, b *requestBody, refusal relay.Refusal) {
 	b.hold.Release()
-	if b.awaitsContinue() {
+	if b.awaitsContinue() && !b.begun {
 		platform.NewCaller(w).Refuse(refusal)
 		return
 	}
--- a/router/request_body.go
+++ b/router/request_body.go
@@ -40,6 +40,8 @@
 	limit int64
 	// until is when the body has to be read.
 	until time.Time
+	// begun is set once the body was read from, which asks a caller that awaits it for the body.
+	begun bool
 }
 
 // readWhole reads the body into memory that is reserved before. The error is a *intake.FullError if there is none, and a *http.MaxBytesError
@@ -106,6 +108,7 @@
 	if b.until.Before(deadline) {
 		deadline = b.until
 	}
+	b.begun = true
 	b.setDeadline(deadline)
 	return b.r.Body.Read(p)
 }
