Close the listener of a stop at an error that is no timeout

Found in review, by reading: with no free descriptor Accept fails at once while connections wait, so that a stop would have spent up to a second of processor time in a loop. The listener is now closed. No test: descriptors are not exhausted in tests.

--- a/shared/connections/listener.go
+++ b/shared/connections/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -82,9 +83,13 @@
 	q, ok := l.Listener.(queueListener)
 	// stopAccepting may set its deadline only now, which ends one Accept more.
 	for ok && time.Now().Before(*until) && hasQueued(q) && q.SetDeadline(*until) == nil {
-		if c, err := l.Listener.Accept(); err == nil {
+		c, err := l.Listener.Accept()
+		if err == nil {
 			return c, nil
 		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
 	}
 	_ = l.Close()
 	return nil, net.ErrClosed
