--- a/serving/relay/request.go
+++ b/serving/relay/request.go
@@ -168,11 +168,13 @@
 	Malformed
 	// TooLarge means that the request's body exceeds the limit of the configuration.
 	TooLarge
+	// OverQuota is like NotRun, for a request that exceeds the quota of its workspace.
+	OverQuota
 )
 
 // String returns the verdict's name, which is logged and sent to clients.
 func (v Verdict) String() string {
-	return [...]string{"NotRun", "Unknown", "Expired", "NoKey", "NoRoute", "Malformed", "TooLarge"}[v]
+	return [...]string{"NotRun", "Unknown", "Expired", "NoKey", "NoRoute", "Malformed", "TooLarge", "OverQuota"}[v]
 }
 
 // Refusal is the relay's own answer to a request, in place of an endpoint's.
--- a/serving/route/route.go
+++ b/serving/route/route.go
@@ -92,8 +92,15 @@
 	Engine *Engine
 	// Scale is nil if the system does not set the service's number of endpoints.
 	Scale *Scale
+	// Contended is set by NewTable if requests compete for the service's engines: its streaming routes have objectives that differ by
+	// contendedGoalRatio, or a workspace of the configuration has a quota.
+	Contended bool
 }
 
+// contendedGoalRatio is the least ratio of the longest objective of a service's streaming routes to the shortest one at which the service is
+// contended. A request can wait for a more urgent one without becoming late only if its objective leaves as much time again.
+const contendedGoalRatio = 2
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	// BatchSize is how many requests an engine runs at the same time.
@@ -120,6 +127,38 @@
 	// Rank overrides the rank of the route if HasRank is set.
 	Rank    int
 	HasRank bool
+	// Quota bounds what the workspace may request. The zero value is no bound.
+	Quota Quota
+}
+
+// Unit is what a quota counts.
+type Unit int
+
+// The units of quotas.
+const (
+	Requests Unit = iota
+	Tokens
+)
+
+// String returns the unit's name for logs.
+func (u Unit) String() string {
+	return [...]string{"Requests", "Tokens"}[u]
+}
+
+// Quota bounds the cost of a workspace's requests over all instances, in its unit.
+type Quota struct {
+	Unit Unit
+	// Rate is the cost per second that the workspace may request; 0 is no limit.
+	Rate float64
+	// Burst is what the workspace may request at once after a time without requests.
+	Burst float64
+	// PlainCost is the cost of a request without token counts if the unit is Tokens.
+	PlainCost float64
+}
+
+// Limited reports whether there is a limit.
+func (q Quota) Limited() bool {
+	return q.Rate > 0
 }
 
 // Limits bound the connections and requests of callers.
@@ -128,4 +167,8 @@
 	IdleTimeout time.Duration
 	// MaxBody is the maximum size of a request's body in bytes; 0 stands for a default.
 	MaxBody int64
+	// MaxHead is the maximum size of a request's head in bytes, HeadTimeout the longest time from its first byte to its last; 0 stands for
+	// a default.
+	MaxHead     int64
+	HeadTimeout time.Duration
 }
--- a/serving/route/table.go
+++ b/serving/route/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"cowslipshunt.example/wire"
 )
@@ -35,9 +36,36 @@
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	t.markContended(routes)
 	return t
 }
 
+// markContended sets Contended of the services.
+func (t *Table) markContended(routes []*Route) {
+	limited := false
+	for _, w := range t.keys {
+		limited = limited || w.Quota.Limited()
+	}
+	for _, s := range t.Services {
+		s.Contended = s.Engine != nil && (limited || goalsDiffer(routes, s.Name))
+	}
+}
+
+// goalsDiffer reports whether the objectives of the streaming routes that lead to a service differ by contendedGoalRatio.
+func goalsDiffer(routes []*Route, name wire.ServiceName) bool {
+	shortest, longest := time.Duration(0), time.Duration(0)
+	for _, r := range routes {
+		if r.Kind != Stream || r.Goal <= 0 || !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == name }) {
+			continue
+		}
+		if shortest == 0 || r.Goal < shortest {
+			shortest = r.Goal
+		}
+		longest = max(longest, r.Goal)
+	}
+	return shortest > 0 && longest >= contendedGoalRatio*shortest
+}
+
 // Find returns the route of a host that has the longest matching prefix of the path, or nil. The host may have a port and be in
 // upper case.
 func (t *Table) Find(host, path string) *Route {
--- a/serving/route/table_test.go
+++ b/serving/route/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"cowslipshunt.example/serving/route"
 	"cowslipshunt.example/wire"
@@ -61,3 +62,34 @@
 		}
 	}
 }
+
+// TestContendedServices guards against deployments that get another order of their requests than before although nothing in their
+// configuration asks for it.
+func TestContendedServices(t *testing.T) {
+	streaming := func(goal time.Duration) *route.Route {
+		return &route.Route{Kind: route.Stream, Goal: goal, Shares: []route.Share{{Service: "engines", Weight: 1}, {Service: "plain", Weight: 1}}}
+	}
+	booking := &route.Route{Kind: route.Once, Goal: 100 * time.Millisecond, Shares: []route.Share{{Service: "engines", Weight: 1}}}
+	limited := map[string]*route.Workspace{"k": {Name: "w", Quota: route.Quota{Rate: 1}}}
+	cases := map[string]struct {
+		routes []*route.Route
+		keys   map[string]*route.Workspace
+		want   bool
+	}{
+		"similar objectives": {routes: []*route.Route{streaming(400 * time.Millisecond), streaming(799 * time.Millisecond)}},
+		"other kinds":        {routes: []*route.Route{streaming(400 * time.Millisecond), booking}},
+		"no objective":       {routes: []*route.Route{streaming(0), streaming(400 * time.Millisecond)}},
+		"unlike objectives":  {routes: []*route.Route{streaming(400 * time.Millisecond), streaming(800 * time.Millisecond)}, want: true},
+		"quota":              {routes: []*route.Route{streaming(400 * time.Millisecond)}, keys: limited, want: true},
+	}
+	for name, c := range cases {
+		services := []*route.Service{{Name: "engines", Engine: &route.Engine{}}, {Name: "plain"}}
+		table := route.NewTable(1, c.routes, services, c.keys, route.Limits{})
+		if got := table.Services["engines"].Contended; got != c.want {
+			t.Errorf("%s: contended is %v, want %v", name, got, c.want)
+		}
+		if table.Services["plain"].Contended {
+			t.Errorf("%s: a service without engines is contended", name)
+		}
+	}
+}
