Add quotas that all instances share

A workspace at four times its rate ran 13,063,969 tokens in 8 s where 12,221,609 were allowed: nothing limits what it requests. Add serving/quota: in each failure domain one instance coordinates a workspace and grants from a token bucket, and the coordinators tell each other what was spent. An instance whose coordinator is silent uses its share of the limit after 40 ms, and the share of a domain that is silent stays reserved.

--- /dev/null
+++ b/serving/quota/account.go
@@ -0,0 +1,150 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"cowslipshunt.example/serving/route"
+	"cowslipshunt.example/wire"
+)
+
+// Times of an instance that asks its coordinator.
+const (
+	// askTimeout is how long a request waits for the answer to an ask, which is sent askAttempts times.
+	askTimeout  = 20 * time.Millisecond
+	askAttempts = 2
+	// grantLife is how long a grant is valid.
+	grantLife = time.Second
+	// renewAfter is the age from which an allowance is renewed while it is still used.
+	renewAfter = allowanceLife / 2
+	// probeInterval is how often a silent coordinator is asked whether it answers again.
+	probeInterval = 100 * time.Millisecond
+)
+
+// reportRepeats is how often a report is repeated after the last change, as datagrams may be lost.
+const reportRepeats = 3
+
+// minShare is the least share of the limit that an instance uses without a coordinator, as a part of an even share.
+const minShare = 0.1
+
+// account is an instance's state of a workspace as one that spends from its quota.
+type account struct {
+	workspace wire.WorkspaceName
+	quota     route.Quota
+	// coordinator is the address of the coordinator that is asked, term counts the coordinators so far.
+	coordinator string
+	term        uint64
+	// spent is what was spent without asking in the term; sent is what was reported last, acked what had been reported when the
+	// coordinator answered last. repeats counts the reports that are still to be sent.
+	spent, sent, acked float64
+	sequence           uint64
+	repeats            int
+	// allowance is what may be spent without asking until allowedUntil, by the answer to the ask of number newest; renewed is set once
+	// another one was asked for.
+	allowance    float64
+	allowedUntil time.Time
+	renewAt      time.Time
+	newest       uint64
+	// level and share are those of the last answer, at answeredAt; answered is set if there was one.
+	level, share float64
+	answeredAt   time.Time
+	answered     bool
+	// local is set while the coordinator does not answer; bucket is then the level of the instance's share at bucketAt.
+	local    bool
+	bucket   float64
+	bucketAt time.Time
+	probedAt time.Time
+
+	// spentAll and refused are totals for metrics and logs; loggedAt is when a refusal was last logged, and unlogged counts those since.
+	spentAll float64
+	refused  uint64
+}
+
+// follow sets the coordinator that is asked. What it may not have been told of is reported to the new one.
+func (a *account) follow(address string) {
+	if address == a.coordinator {
+		return
+	}
+	a.coordinator = address
+	a.term++
+	a.spent -= a.acked
+	a.acked, a.sent = 0, 0
+	a.allowance = 0
+	a.local = false
+	if a.spent != 0 {
+		a.repeats = reportRepeats
+	}
+}
+
+// spend counts what was spent without asking. A refund is negative.
+func (a *account) spend(cost float64) {
+	a.spent += cost
+	a.repeats = reportRepeats
+}
+
+// useAllowance takes a cost from the allowance, if it suffices.
+func (a *account) useAllowance(cost float64, now time.Time) bool {
+	if cost > a.allowance || !now.Before(a.allowedUntil) {
+		return false
+	}
+	a.allowance -= cost
+	a.spend(cost)
+	return true
+}
+
+// takeAnswer takes the answer to an ask that was sent at asked.
+func (a *account) takeAnswer(x Answer, asked, now time.Time) {
+	if x.Number <= a.newest {
+		return
+	}
+	a.newest = x.Number
+	a.level, a.share, a.answeredAt, a.answered = x.Level, x.Share, now, true
+	a.allowance, a.allowedUntil, a.renewAt = x.Allowance, asked.Add(allowanceLife), asked.Add(renewAfter)
+	a.acked = a.sent
+	a.local = false
+}
+
+// startLocal starts the local bucket, with the instance's share of the last known level and of what has come in since.
+func (a *account) startLocal(instances int, now time.Time) {
+	if a.local {
+		return
+	}
+	even := 1 / float64(max(instances, 1))
+	if !a.answered {
+		a.share = even
+	}
+	a.share = math.Max(a.share, minShare*even)
+	level := math.Min(a.level+a.quota.Rate*now.Sub(a.answeredAt).Seconds(), a.quota.Burst)
+	a.local, a.bucket, a.bucketAt = true, a.share*level, now
+	// What was spent from the allowance is not in the level.
+	a.bucket -= a.spent - a.acked
+}
+
+// takeLocal takes a cost from the local bucket, or returns when that will be possible. A request runs if the instance's share of the level
+// that the whole workspace needs is there, as shares are often smaller than a request; the bucket may go below zero.
+func (a *account) takeLocal(cost float64, now time.Time) (bool, time.Duration) {
+	rate := a.share * a.quota.Rate
+	a.bucket = math.Min(a.bucket+rate*now.Sub(a.bucketAt).Seconds(), a.share*a.quota.Burst)
+	a.bucketAt = now
+	need := a.share * math.Min(cost, a.quota.Burst)
+	if a.bucket < need {
+		return false, min(seconds((need-a.bucket)/rate), maxLocalRetryAfter)
+	}
+	a.bucket -= cost
+	a.spend(cost)
+	return true, 0
+}
+
+// maxLocalRetryAfter bounds when a client that was refused by a local bucket is told to return: the domain has a new coordinator by then.
+const maxLocalRetryAfter = 3 * time.Second
+
+// nextReport returns a report if one is due.
+func (a *account) nextReport() (Report, bool) {
+	if a.repeats == 0 {
+		return Report{}, false
+	}
+	a.repeats--
+	a.sequence++
+	a.sent = a.spent
+	return Report{Workspace: a.workspace, Term: a.term, Sequence: a.sequence, Spent: a.spent}, true
+}
--- /dev/null
+++ b/serving/quota/coordinator.go
@@ -0,0 +1,288 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"cowslipshunt.example/serving/route"
+	"cowslipshunt.example/wire"
+)
+
+// Times of coordinators.
+const (
+	// adoptTime is how long a new coordinator waits for the level from the coordinators of other domains, or from its predecessor, before
+	// it starts with an empty bucket. Instances that ask meanwhile use their local bucket.
+	adoptTime = 150 * time.Millisecond
+	// joinTime is how long a new process waits instead: it has not yet heard all its peers.
+	joinTime = time.Second
+	// allowanceLife is how long an instance may use an allowance. The coordinator keeps it in mind for allowanceKept, in which the
+	// instance's reports of what it spent arrive.
+	allowanceLife = 500 * time.Millisecond
+	allowanceKept = time.Second
+	// answersKept is how long the answers to asks are kept for those that are repeated.
+	answersKept = 500 * time.Millisecond
+)
+
+// Allowances are granted while the level is above allowanceLevel of the burst and the workspace spends less than allowanceSpending of its
+// rate. All together they are at most allowancePart of what the level is above that, and one is an allowanceDivisor-th of what is left.
+const (
+	allowanceLevel    = 0.5
+	allowanceSpending = 0.5
+	allowancePart     = 0.5
+	allowanceDivisor  = 8
+)
+
+// client is what a coordinator knows of an instance that asks it, by its incarnation.
+type client struct {
+	report    counted
+	recent    average
+	allowance float64
+	// until is when the allowance no longer counts.
+	until time.Time
+	heard time.Time
+	// answers are those of the last asks by number.
+	answers map[uint64]answered
+}
+
+type answered struct {
+	answer Answer
+	at     time.Time
+}
+
+// coordinator is an instance's state of a workspace whose coordinator it is, was, or may become.
+type coordinator struct {
+	bucket
+	workspace wire.WorkspaceName
+	// leads is set while this instance is the coordinator by its own view, since since. It is ready once it has a level to grant from.
+	leads bool
+	since time.Time
+	ready bool
+	// adopted is set once the level was taken from another coordinator.
+	adopted bool
+	clients map[wire.IncarnationId]*client
+	// former holds the counts of other coordinators of the own domain.
+	former *domain
+	// total is what was granted and reported; sequence counts the Totals sent; sentTotal is the total that was sent last, at sentAt.
+	total     float64
+	sequence  uint64
+	sentTotal float64
+	sentAt    time.Time
+	// totalBefore is the total when this instance became the coordinator.
+	totalBefore float64
+	// need is set until the other coordinators were asked for the level.
+	need bool
+}
+
+func newCoordinator(name wire.WorkspaceName, q route.Quota, window time.Duration, now time.Time) *coordinator {
+	return &coordinator{
+		bucket:    bucket{quota: q, window: window, at: now, domains: map[wire.DomainName]*domain{}},
+		workspace: name,
+		clients:   map[wire.IncarnationId]*client{},
+	}
+}
+
+// lead starts or ends the instance's time as the coordinator. A new one has an empty bucket until it has adopted a level.
+func (c *coordinator) lead(leads bool, now time.Time) {
+	if leads == c.leads {
+		return
+	}
+	c.leads, c.since = leads, now
+	if !leads {
+		return
+	}
+	c.adopted, c.need, c.totalBefore = false, true, c.total
+	if !c.ready {
+		c.level, c.at = 0, now
+	}
+}
+
+// settle makes a new coordinator ready that has waited for a level for long enough, and one that no longer leads forget its level once its
+// successor had time to adopt it.
+func (c *coordinator) settle(now time.Time, wait time.Duration) {
+	switch {
+	case c.leads && !c.ready && now.Sub(c.since) >= wait:
+		c.ready = true
+	case !c.leads && c.ready && now.Sub(c.since) > keptAfterLead:
+		c.ready = false
+		clear(c.clients)
+	}
+}
+
+// keptAfterLead is how long a former coordinator keeps its level: until all instances ask its successor.
+const keptAfterLead = 3 * time.Second
+
+// client returns the state of an instance.
+func (c *coordinator) client(id wire.IncarnationId, now time.Time) *client {
+	x := c.clients[id]
+	if x == nil {
+		x = &client{answers: map[uint64]answered{}}
+		c.clients[id] = x
+	}
+	x.heard = now
+	return x
+}
+
+// forgetClients drops instances that have not been heard for long, and answers that are no longer asked for.
+func (c *coordinator) forgetClients(now time.Time) {
+	for id, x := range c.clients {
+		if now.Sub(x.heard) > clientKept {
+			delete(c.clients, id)
+			continue
+		}
+		for n, a := range x.answers {
+			if now.Sub(a.at) > answersKept {
+				delete(x.answers, n)
+			}
+		}
+	}
+}
+
+// clientKept is how long an instance's counts are kept after its last packet. It is longer than any repeated report is late.
+const clientKept = 30 * time.Second
+
+// ask answers an instance. A repeated ask gets the same answer and is granted once.
+func (c *coordinator) ask(id wire.IncarnationId, a Ask, now time.Time) Answer {
+	x := c.client(id, now)
+	if old, ok := x.answers[a.Number]; ok {
+		return old.answer
+	}
+	answer := Answer{Number: a.Number, Workspace: c.workspace}
+	cost := math.Max(a.Cost, 0)
+	if need := c.bucket.need(cost); c.level >= need {
+		answer.Granted = true
+		c.charge(x, cost, now)
+	} else {
+		answer.RetryAfter = seconds((need - c.level) / c.quota.Rate)
+	}
+	answer.Allowance = c.allowance(x, now)
+	answer.Level, answer.Share = c.level, c.clientShare(x, now)
+	x.answers[a.Number] = answered{answer, now}
+	return answer
+}
+
+// charge counts what an instance has spent.
+func (c *coordinator) charge(x *client, cost float64, now time.Time) {
+	c.spend(cost, now)
+	c.total += cost
+	x.recent.add(cost, now)
+}
+
+// clientShare returns an instance's share of the limit, by its share of what its domain spends.
+func (c *coordinator) clientShare(x *client, now time.Time) float64 {
+	own := c.own.value(now)
+	if own <= 0 {
+		return 0
+	}
+	return math.Min(x.recent.value(now)/own, 1) * c.share("", now)
+}
+
+// allowance returns what an instance may spend without asking, and counts it as given.
+func (c *coordinator) allowance(x *client, now time.Time) float64 {
+	x.allowance = 0
+	free := (c.level - allowanceLevel*c.quota.Burst) * allowancePart / float64(len(c.domains)+1)
+	if free <= 0 || c.spending(now) > allowanceSpending*c.quota.Rate*recentTime.Seconds() {
+		return 0
+	}
+	for _, other := range c.clients {
+		if now.Before(other.until) {
+			free -= other.allowance
+		}
+	}
+	if free <= 0 {
+		return 0
+	}
+	x.allowance, x.until = free/allowanceDivisor, now.Add(allowanceLife+allowanceKept)
+	return x.allowance
+}
+
+// report counts what an instance has spent without asking.
+func (c *coordinator) report(id wire.IncarnationId, r Report, now time.Time) {
+	x := c.client(id, now)
+	spent := x.report.advance(r.Term, r.Sequence, r.Spent)
+	if spent != 0 {
+		c.charge(x, spent, now)
+	}
+}
+
+// advance takes a newer count and returns the difference to the last one of the term, or 0 if the count is not newer.
+func (n *counted) advance(term, sequence uint64, spent float64) float64 {
+	switch {
+	case term < n.term, term == n.term && sequence <= n.sequence:
+		return 0
+	case term > n.term:
+		n.spent = 0
+	}
+	difference := spent - n.spent
+	n.term, n.sequence, n.spent = term, sequence, spent
+	return difference
+}
+
+// hear takes the total of another coordinator.
+func (c *coordinator) hear(p *Packet, own wire.DomainName, t Total, now time.Time) {
+	d := c.domainOf(p.Domain, own, now)
+	adopts := t.Ready && c.leads && !c.adopted && now.Sub(c.since) < joinTime
+	if adopts {
+		c.level, c.adopted, c.ready = math.Min(t.Level, c.quota.Burst)-(c.total-c.totalBefore), true, true
+	}
+	known := d.counts[p.Incarnation]
+	if known == nil {
+		known = &counted{sequence: t.Sequence, spent: t.Spent, at: now}
+		d.counts[p.Incarnation] = known
+		spent, traffic := t.Recent, &d.recent
+		if p.Domain == own {
+			traffic = &c.own
+		}
+		// The adopted level has what the senders had spent before. Former coordinators of the own domain are counted by none but
+		// their successor, which adopts their level.
+		if adopts || c.adopted && now.Sub(c.since) < joinTime {
+			spent = 0
+			traffic.add(t.Recent, now)
+		}
+		c.count(p.Domain, own, spent, now)
+		return
+	}
+	if t.Sequence <= known.sequence {
+		return
+	}
+	known.at = now
+	c.count(p.Domain, own, known.advance(0, t.Sequence, t.Spent), now)
+}
+
+// count counts what a coordinator of another domain, or a former one of the own domain, has spent.
+func (c *coordinator) count(name, own wire.DomainName, spent float64, now time.Time) {
+	if name == own {
+		if spent != 0 {
+			c.spend(spent, now)
+		}
+		return
+	}
+	c.spentElsewhere(name, spent, now)
+}
+
+// domainOf returns the state of a domain. That of the own one only holds the counts of other coordinators.
+func (c *coordinator) domainOf(name, own wire.DomainName, now time.Time) *domain {
+	if name == own {
+		if c.former == nil {
+			c.former = newDomain(now)
+		}
+		return c.former
+	}
+	d := c.domains[name]
+	if d == nil {
+		d = newDomain(now)
+		c.domains[name] = d
+	}
+	return d
+}
+
+func newDomain(now time.Time) *domain {
+	return &domain{heard: now, counts: map[wire.IncarnationId]*counted{}}
+}
+
+// seconds returns a duration of n seconds, which is bounded.
+func seconds(n float64) time.Duration {
+	return time.Duration(math.Min(math.Max(n, 0), maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// maxRetryAfter bounds when a refused client is told to return.
+const maxRetryAfter = time.Hour
