Refuse requests over the quota of their workspace

relay.WithQuota asks before the retry budget counts the request. A refusal is OverQuota with the time when the workspace has tokens again. A further send that runs counts again, and sends that no endpoint has run are given back at the end of the request. A grant older than 1 s, as an instance that was suspended may hold, is asked for anew unless it has paid for a prefill. Workspaces without a quota and public routes are served as before.

go test -race -count=1 ./relay ./route passed.

--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cowslipshunt.example/serving/placement"
+	"cowslipshunt.example/serving/quota"
 	"cowslipshunt.example/serving/retry"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/route"
@@ -27,8 +28,13 @@
 	service   *route.Service
 	workspace wire.WorkspaceName
 	rank      int
-	deadline  time.Time
-	budget    *retry.Budget
+	// limited is the workspace if it has a quota, and nil otherwise. grant is what the request has taken from it, charged the sends that
+	// have been paid for.
+	limited  *route.Workspace
+	grant    *quota.Grant
+	charged  int
+	deadline time.Time
+	budget   *retry.Budget
 
 	// sent counts the sends that may have reached an endpoint, except successful prefills. Once it is above 0, each further send is
 	// taken from the retry budget. possibleRuns counts the sends that may have made an endpoint run the request.
@@ -89,6 +95,9 @@
 			return &Refusal{Verdict: NoKey, Reason: "no workspace holds the key"}
 		}
 		j.workspace = w.Name
+		if w.Quota.Limited() {
+			j.limited = w
+		}
 		if w.HasRank {
 			j.rank = w.Rank
 		}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -105,6 +105,8 @@
 	bounds       BudgetBounds
 	reachability *roster.Reachability
 	quarantine   *quarantine.Table
+	// quota is nil if workspaces have no limits.
+	quota Quota
 
 	// reportCached is called with the parts of prompts that an endpoint newly caches.
 	reportCached func(id wire.EndpointId, parts []roster.PartID)
@@ -212,9 +214,13 @@
 		j.refuse(*refusal)
 		return
 	}
-	defer j.handovers.Wait()
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer j.settleQuota()
+	defer j.handovers.Wait()
 	defer cancel()
+	if !j.takeQuota(ctx) {
+		return
+	}
 	j.budget.CountRequest(r.clock.Now())
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -41,6 +41,9 @@
 			j.fail(ctx, budgetReason)
 			return
 		}
+		if !j.grantHolds(ctx) {
+			return
+		}
 		if j.sendTo(ctx, e) {
 			return
 		}
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -43,6 +43,7 @@
 
 // newRun returns a send that runs the request.
 func (j *job) newRun(ctx context.Context, e *roster.Endpoint, source *Source) *send {
+	j.chargeSend()
 	a := j.newAttempt()
 	a.Source = source
 	tokens := 0
--- a/serving/route/table.go
+++ b/serving/route/table.go
@@ -94,3 +94,14 @@
 	}
 	return n
 }
+
+// Quotas returns the quotas of the workspaces that have a limit.
+func (t *Table) Quotas() map[wire.WorkspaceName]Quota {
+	quotas := map[wire.WorkspaceName]Quota{}
+	for _, w := range t.keys {
+		if w.Quota.Limited() {
+			quotas[w.Name] = w.Quota
+		}
+	}
+	return quotas
+}
