Put the quotas of the configuration in force

The router runs the quota manager while the accepted configuration has a workspace with a rate, and exchanges its packets under key 7 of the peers' datagrams.

--- a/router/peers.go
+++ b/router/peers.go
@@ -12,6 +12,7 @@
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/quarantine"
+	"cowslipshunt.example/serving/quota"
 	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
@@ -46,6 +47,7 @@
 	Evidence *quarantine.Evidence `cbor:"5,keyasint,omitempty"`
 	// Leaving belongs to the report.
 	Leaving []peerload.Departure `cbor:"6,keyasint,omitempty"`
+	Quota   *quota.Packet        `cbor:"7,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -63,6 +65,8 @@
 	// stop ends receiveLoop and reportLoop.
 	stop context.CancelFunc
 
+	// quotas is nil until the instance serves quotas.
+	quotas atomic.Pointer[quotaRunner]
 	// handoffTurns counts the calls of HandOff.
 	handoffTurns atomic.Int64
 
@@ -96,29 +100,6 @@
 	_ = p.conn.Close()
 }
 
-func (p *peers) setMembers(members []membership.Peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.members = members
-}
-
-// hearsAllMembers reports whether the peers that send reports are exactly those that the store listed last.
-func (p *peers) hearsAllMembers() bool {
-	reporting := p.peerLoads.Peers()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	listed := make(map[string]bool, len(p.members))
-	for _, m := range p.members {
-		listed[m.Address] = true
-	}
-	for _, x := range reporting {
-		if !listed[x.Address] {
-			return false
-		}
-	}
-	return len(reporting) == len(listed)
-}
-
 // setFollowers sets the followers whose versions are compared with those of the peers.
 func (p *peers) setFollowers(f *followers) {
 	p.mu.Lock()
@@ -193,6 +174,9 @@
 	if m.Evidence != nil {
 		p.quarantine.Apply(m.Evidence)
 	}
+	if q := p.quotas.Load(); q != nil && m.Quota != nil {
+		q.receive(m.Quota)
+	}
 	f := p.tableFollowers()
 	if f != nil && m.Applied != nil {
 		f.peerApplied(*m.Applied)
--- a/router/serve.go
+++ b/router/serve.go
@@ -69,6 +69,7 @@
 	callerConns  *connections.Tracker
 	peers        *peers
 	slackShare   *retry.SlackShare
+	quotas       *quotaRunner
 	// requestCtx is the base context of all requests of callers; endRequests ends them with a cause.
 	requestCtx  context.Context
 	endRequests context.CancelCauseFunc
@@ -102,8 +103,9 @@
 	n.quarantine = quarantine.New(clock, quarantine.WithRank(n.peerLoads.Rank), quarantine.WithObserver(observer.logQuarantine))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(shareOf(s.MemoryBytes)))
+	n.quotas = newQuotaRunner(s, n)
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent),
-		relay.WithQuarantine(n.quarantine))
+		relay.WithQuarantine(n.quarantine), relay.WithQuota(n.quotas.manager))
 	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
 	n.callerConns = connections.Track(n.callerServer, clock, connections.WithUnreadObserver(observer.logClosedUnread))
@@ -145,6 +147,9 @@
 	replicas := n.peers.replicas(self, min(s.Bounds.DrainTime, s.Bounds.ConfigurationApplyTime))
 	f := newFollowers(n.store, n.relay, n.directory, n.liveInstances, replicas, n.logger)
 	n.peers.setFollowers(f)
+	n.peers.quotas.Store(n.quotas)
+	n.quotas.peers.Store(n.peers)
+	go n.quotas.run(ctx, n.relay)
 	go f.configuration.run(ctx)
 	go f.endpoints.run(ctx)
 	d := newDuties(dutyDeps{
