--- /dev/null
+++ b/serving/quota/hear.go
@@ -0,0 +1,70 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"cowslipshunt.example/wire"
+)
+
+// hear takes the total of another coordinator.
+func (c *coordinator) hear(p *Packet, own wire.DomainName, t Total, now time.Time) {
+	d := c.domainOf(p.Domain, own, now)
+	adopts := t.Ready && c.leads && !c.adopted && now.Sub(c.since) < joinTime
+	if adopts {
+		c.level, c.adopted, c.ready = math.Min(t.Level, c.quota.Burst)-(c.total-c.totalBefore), true, true
+	}
+	known := d.counts[p.Incarnation]
+	if known == nil {
+		known = &counted{sequence: t.Sequence, spent: t.Spent, at: now}
+		d.counts[p.Incarnation] = known
+		spent, traffic := t.Recent, &d.recent
+		if p.Domain == own {
+			traffic = &c.own
+		}
+		// The adopted level has what the senders had spent before. Former coordinators of the own domain are counted by none but
+		// their successor, which adopts their level.
+		if adopts || c.adopted && now.Sub(c.since) < joinTime {
+			spent = 0
+			traffic.add(t.Recent, now)
+		}
+		c.count(p.Domain, own, spent, t.Level, now)
+		return
+	}
+	if t.Sequence <= known.sequence {
+		return
+	}
+	known.at = now
+	c.count(p.Domain, own, known.advance(0, t.Sequence, t.Spent), t.Level, now)
+}
+
+// count counts what a coordinator of another domain, or a former one of the own domain, has spent.
+func (c *coordinator) count(name, own wire.DomainName, spent, level float64, now time.Time) {
+	if name == own {
+		if spent != 0 {
+			c.spend(spent, now)
+		}
+		return
+	}
+	c.spentElsewhere(name, spent, level, now)
+}
+
+// domainOf returns the state of a domain. That of the own one only holds the counts of other coordinators.
+func (c *coordinator) domainOf(name, own wire.DomainName, now time.Time) *domain {
+	if name == own {
+		if c.former == nil {
+			c.former = newDomain(now)
+		}
+		return c.former
+	}
+	d := c.domains[name]
+	if d == nil {
+		d = newDomain(now)
+		c.domains[name] = d
+	}
+	return d
+}
+
+func newDomain(now time.Time) *domain {
+	return &domain{heard: now, counts: map[wire.IncarnationId]*counted{}}
+}
