--- a/serving/quota/fleet_test.go
+++ b/serving/quota/fleet_test.go
@@ -196,7 +196,7 @@
 func (x *instance) request(w wire.WorkspaceName, cost float64) {
 	f := x.fleet
 	f.mu.Lock()
-	q, stopped, m := f.quotas[w], !x.stopped.IsZero(), x.manager
+	q, stopped, m := f.quotas[w], !x.stopped.IsZero() && !x.frozen, x.manager
 	f.mu.Unlock()
 	if stopped {
 		return
--- /dev/null
+++ b/serving/quota/pauses_test.go
@@ -0,0 +1,55 @@
+package quota_test
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// Instances with a fifth of a core pause until the next period of the scheduler once they have used up their time.
+const (
+	schedulerPeriod = 100 * time.Millisecond
+	longestPause    = 80 * time.Millisecond
+)
+
+// pauseAll makes all instances pause at random, each in a share of the scheduler's periods, until ctx ends.
+func (f *fleet) pauseAll(ctx context.Context, share float64) {
+	for _, x := range f.instances {
+		f.requests.Go(func() {
+			for ctx.Err() == nil {
+				f.mu.Lock()
+				pauses, d := f.random.Float64() < share, time.Duration(f.random.Float64()*float64(longestPause))
+				f.mu.Unlock()
+				if !pauses {
+					time.Sleep(schedulerPeriod)
+					continue
+				}
+				x.freeze()
+				time.Sleep(d)
+				x.thaw()
+				time.Sleep(schedulerPeriod - d)
+			}
+		})
+	}
+}
+
+// TestInstancesThatPause guards against refusals and overspending where coordinators often answer too late.
+func TestInstancesThatPause(t *testing.T) {
+	for _, c := range []struct {
+		demand, least float64
+		wrong         bool
+	}{{0.5, 0.45, false}, {4, 0.9, true}} {
+		testFleet(t, 26, one(large), func(f *fleet) {
+			ctx, stop := context.WithCancel(context.Background())
+			f.pauseAll(ctx, 0.5)
+			start := time.Now()
+			f.load("w", c.demand*large.Rate, 20*time.Second, prompts, f.anyInstance)
+			stop()
+			f.checkBound("w", large, start)
+			checkUsed(t, f, large, start, c.least)
+			if !c.wrong && len(f.refused) > 0 {
+				t.Errorf("refused %d requests at %v of the rate", len(f.refused), c.demand)
+			}
+		})
+	}
+}
