Add learned speeds of prefill engines

The constant of 51.1 tokens per ms is wrong for engines whose speeds differ by a factor of 2.4. serving/speed estimates the speed of one engine as a multiple of the nominal one: the 80th percentile of the last 24 samples, from 6 samples on, within 1/8 and 8, published only at a change by a fifth. A sample is a prefill of at least 1,000 tokens for which no more than half as many were queued. Nothing calls it yet.

Tests of serving/speed and serving/roster passed with -race.

--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/speed"
 	"cowslipshunt.example/wire"
 )
 
@@ -70,6 +71,8 @@
 	// suspected is set while several other instances avoid the endpoint after failures.
 	suspected atomic.Bool
 	cache     cache
+	// speed is learned for the engines of contended services only.
+	speed speed.Estimate
 	// restrictions are what this incarnation has asked of this instance.
 	restrictions *restrictions
 }
@@ -184,3 +187,13 @@
 func (e *Endpoint) MarkWorking() bool {
 	return e.backoff.reset()
 }
+
+// Speed returns how fast the endpoint prefills prompts, as a multiple of the nominal speed. It is 1 until it has been learned.
+func (e *Endpoint) Speed(now time.Time) float64 {
+	return e.speed.Factor(now)
+}
+
+// ObserveSpeed adds a sample of the endpoint's speed, as a multiple of the nominal one, and reports whether Speed has changed.
+func (e *Endpoint) ObserveSpeed(factor float64, now time.Time) bool {
+	return e.speed.Observe(factor, now)
+}
