Spread the prompts of contended services over a few engines each

With the least cost over all engines and reports up to 500 ms old, all instances send the prompts of overloaded engines to the same idle ones, which read shared parts again that others have cached. Decode engines are drawn at random. Learned speeds divide the cost; other services are chosen as before.

--- a/serving/placement/allocations_test.go
+++ b/serving/placement/allocations_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 
 	"cowslipshunt.example/serving/placement"
@@ -17,3 +18,33 @@
 		t.Errorf("a choice among %d engines makes %v allocations", len(eligible), n)
 	}
 }
+
+// TestContendedChoicesAllocateNothing is the same guard for contended services.
+func TestContendedChoicesAllocateNothing(t *testing.T) {
+	eligible := engines(80, roster.Prefill, "a", "b", "c")
+	p := prompt("p", 13300, 3720)
+	need := placement.Need{Stage: roster.Prefill, Near: "a", Contended: true, TieBreak: 7}
+	n := testing.AllocsPerRun(100, func() {
+		placement.ChoosePrefill(eligible, &p, need, now)
+		placement.ChooseDecodeNearSource(eligible, &p, need, "b", now)
+	})
+	if n > 0 {
+		t.Errorf("two choices among %d engines make %v allocations", len(eligible), n)
+	}
+}
+
+func BenchmarkChoosePrefill(b *testing.B) {
+	for _, n := range []int{8, 140} {
+		for _, contended := range []bool{false, true} {
+			b.Run(fmt.Sprintf("engines=%d/contended=%v", n, contended), func(b *testing.B) {
+				eligible := engines(n, roster.Prefill, "a")
+				p := prompt("p", 13300, 3720)
+				need := placement.Need{Stage: roster.Prefill, Near: "a", Contended: contended, TieBreak: 7}
+				b.ReportAllocs()
+				for b.Loop() {
+					placement.ChoosePrefill(eligible, &p, need, now)
+				}
+			})
+		}
+	}
+}
--- a/serving/placement/choose.go
+++ b/serving/placement/choose.go
@@ -19,6 +19,10 @@
 	Excluded []wire.EndpointId
 	// OnDemandOnly excludes spot endpoints.
 	OnDemandOnly bool
+	// Contended is set for a contended service: the choice then allows for load reports that are old, and for engines of unequal speed.
+	Contended bool
+	// TieBreak is a random number of the request.
+	TieBreak uint64
 }
 
 // Eligible returns the endpoints of a list that meet the need and are available now.
--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -26,13 +26,13 @@
 // estimate counts the tokens queued at the engine and those of the prompt that it does not have cached. The costs of another
 // failure domain and of an engine that is not the first in the rendezvous order are added.
 func ChoosePrefill(eligible []*roster.Endpoint, p *Prompt, need Need, now time.Time) *roster.Endpoint {
-	return soonestPrefill(eligible, p, need.Near, prefillRate, now)
+	return soonestPrefill(eligible, p, need, prefillRate, now)
 }
 
 // ChooseDecode returns the decode engine that is expected to generate first if it prefills the prompt itself, or nil for an empty
 // list. It adds the same costs as ChoosePrefill.
 func ChooseDecode(eligible []*roster.Endpoint, p *Prompt, need Need, now time.Time) *roster.Endpoint {
-	return soonestPrefill(eligible, p, need.Near, decodePrefillRate, now)
+	return soonestPrefill(eligible, p, need, decodePrefillRate, now)
 }
 
 // PrefillTime returns the estimated time until an engine has prefilled a prompt, after everything that is queued there.
@@ -46,18 +46,28 @@
 
 // prefillMillis returns the estimate of PrefillTime in milliseconds, for a prefill rate in tokens per millisecond.
 func prefillMillis(e *roster.Endpoint, p *Prompt, rate float64, now time.Time) float64 {
-	return float64(e.PrefillLoad()+p.UncachedTokens(e.CachedParts(p.IDs, now)))/rate + batchMillis*float64(e.InFlight())
+	return engineMillis(e, p.UncachedTokens(e.CachedParts(p.IDs, now)), rate, now)
+}
+
+// engineMillis returns the estimated time in milliseconds until an engine has prefilled a number of tokens, after everything that is queued
+// there. The rate is the nominal one in tokens per millisecond.
+func engineMillis(e *roster.Endpoint, tokens int, rate float64, now time.Time) float64 {
+	return float64(e.PrefillLoad()+tokens)/(rate*e.Speed(now)) + batchMillis*float64(e.InFlight())
 }
 
 // soonestPrefill returns the engine with the lowest cost: its prefill time, plus affinityMillis unless it is the first in the
-// rendezvous order of the prompt's shared parts, plus crossDomainMillis if it is outside the near failure domain.
-func soonestPrefill(eligible []*roster.Endpoint, p *Prompt, near wire.DomainName, rate float64, now time.Time) *roster.Endpoint {
+// rendezvous order of the prompt's shared parts, plus crossDomainMillis if it is outside the near failure domain. For contended services
+// it returns what spreadPrefill does.
+func soonestPrefill(eligible []*roster.Endpoint, p *Prompt, need Need, rate float64, now time.Time) *roster.Endpoint {
+	if need.Contended {
+		return spreadPrefill(eligible, p, need, rate, now)
+	}
 	return leastCost(eligible, uint64(p.SharedPrefix()), func(e *roster.Endpoint, first bool) float64 {
 		cost := prefillMillis(e, p, rate, now)
 		if !first {
 			cost += affinityMillis
 		}
-		if e.Entry().Domain != near {
+		if e.Entry().Domain != need.Near {
 			cost += crossDomainMillis
 		}
 		return cost
@@ -75,3 +85,11 @@
 		return cost
 	})
 }
+
+// ChooseDecodeNearSource is ChooseDecodeNearCache for a need, which may be that of a contended service.
+func ChooseDecodeNearSource(eligible []*roster.Endpoint, p *Prompt, need Need, domain wire.DomainName, now time.Time) *roster.Endpoint {
+	if need.Contended {
+		return spreadDecode(eligible, domain, need.TieBreak, now)
+	}
+	return ChooseDecodeNearCache(eligible, p, domain)
+}
