Choose engines of contended services by learned speeds that peers share

For services with route.Service.Contended the relay asks for the new choice, learns the speed of an engine from each separate prefill, and counts a prompt as queued at a decode engine only until its first event. One of 90 instances sees a prefill of each engine every half minute, so samples go to the peers with the load reports, in the new key 11 of the datagrams: the newest six since the last report, which are dropped first if a report outgrows a datagram. Services that are not contended send no samples and are served as before.

--- a/router/logger.go
+++ b/router/logger.go
@@ -157,6 +157,11 @@
 	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", peers).Bool("Avoided", avoided).Msg("EndpointSuspected")
 }
 
+// logSpeed logs that the learned speed of an engine has changed, by a sample of a peer unless from is empty.
+func (d decisionLog) logSpeed(e *roster.Endpoint, from wire.InstanceName) {
+	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Float64("Speed", e.Speed(time.Now())).Str("Peer", string(from)).Msg("EndpointSpeed")
+}
+
 // logQuarantine logs and counts a change of the prompt parts that are in quarantine.
 func (d decisionLog) logQuarantine(c quarantine.Change) {
 	metrics.GetOrCreateCounter(`router_quarantine_changes_total{event="` + c.Event.String() + `"}`).Inc()
--- a/router/peers.go
+++ b/router/peers.go
@@ -46,6 +46,8 @@
 	Evidence *quarantine.Evidence `cbor:"5,keyasint,omitempty"`
 	// Leaving belongs to the report.
 	Leaving []peerload.Departure `cbor:"6,keyasint,omitempty"`
+	// Speeds belong to the report, too.
+	Speeds []peerload.Speed `cbor:"11,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -183,7 +185,7 @@
 		return
 	}
 	if m.Report != nil {
-		m.Report.Leaving = m.Leaving
+		m.Report.Leaving, m.Report.Speeds = m.Leaving, m.Speeds
 		p.peerLoads.Apply(*m.Report, time.Now())
 		p.handoffs.SetIncarnation(m.Report.From, m.Report.Incarnation)
 	}
@@ -245,7 +247,7 @@
 // broadcast sends a report to all peers. Evidence that does not fit into a datagram beside it is sent in one of its own; a report that does
 // not fit is shortened until it does. One that does not fit although it has neither sent parts nor loads left is logged and not sent.
 func (p *peers) broadcast(report peerload.Report, evidence *quarantine.Evidence, addresses []string) {
-	m := message{Report: &report, Leaving: report.Leaving, Evidence: evidence}
+	m := message{Report: &report, Leaving: report.Leaving, Speeds: report.Speeds, Evidence: evidence}
 	if f := p.tableFollowers(); f != nil {
 		applied := f.applied()
 		m.Applied = &applied
@@ -260,6 +262,10 @@
 			p.transmit(data, addresses)
 			return
 		}
+		if m.Speeds != nil {
+			m.Speeds = nil
+			continue
+		}
 		if m.Evidence != nil {
 			p.broadcastEvidence(m.Evidence, addresses)
 			m.Evidence = nil
@@ -273,27 +279,3 @@
 		report = report.Shortened()
 	}
 }
-
-// broadcastEvidence sends evidence to all peers in a datagram of its own.
-func (p *peers) broadcastEvidence(e *quarantine.Evidence, addresses []string) {
-	data, err := cbor.Marshal(message{Evidence: e})
-	if err != nil || len(data) > maxDatagramBytes {
-		p.logger.Error().Int("Bytes", len(data)).Err(err).Msg("EvidenceNotSent")
-		return
-	}
-	p.transmit(data, addresses)
-}
-
-// transmit sends one datagram to each address. Errors are logged or counted; the datagram is not sent again.
-func (p *peers) transmit(data []byte, addresses []string) {
-	for _, address := range addresses {
-		addr, err := netip.ParseAddrPort(address)
-		if err != nil {
-			p.logger.Warn().Str("Address", address).Err(err).Msg("PeerAddressRejected")
-			continue
-		}
-		if _, err := p.conn.WriteToUDPAddrPort(data, addr); err != nil {
-			metrics.GetOrCreateCounter("router_peer_reports_unsent_total").Inc()
-		}
-	}
-}
--- a/router/peers_test.go
+++ b/router/peers_test.go
@@ -85,6 +85,7 @@
 		}},
 		{Applied: &appliedVersions{Configuration: 3, Endpoints: 4}},
 		{Report: &peerload.Report{From: "peer", Incarnation: "2", Sequence: 2}, Leaving: []peerload.Departure{{Endpoint: "i-1", Born: 1}}},
+		{Report: &peerload.Report{From: "peer", Incarnation: "2", Sequence: 3}, Speeds: []peerload.Speed{{Endpoint: "i-1", Permille: 700}}},
 		{Update: &replication.Update{Table: platform.ReplicaTable, After: 5, Version: 6, Newest: 6, Changes: []replication.Change{
 			{Version: 6, ID: "i-2", Listing: &replication.Listing{Service: "s", Address: "10.0.0.1:80", Domain: "a", Slots: 1, Born: 1}}}}},
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -98,18 +98,27 @@
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
 	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
 	observer := decisionLog{logger: logger}
-	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer))
+	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer),
+		peerload.WithSpeed(observer.logSpeed))
 	n.quarantine = quarantine.New(clock, quarantine.WithRank(n.peerLoads.Rank), quarantine.WithObserver(observer.logQuarantine))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(shareOf(s.MemoryBytes)))
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent),
-		relay.WithQuarantine(n.quarantine))
+		relay.WithQuarantine(n.quarantine), relay.WithSpeedReporter(n.reportSpeed))
 	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
 	n.callerConns = connections.Track(n.callerServer, clock, connections.WithUnreadObserver(observer.logClosedUnread))
 	return n
 }
 
+// reportSpeed reports a sample of an engine's speed to the peers, and logs a change of the engine's speed.
+func (n *node) reportSpeed(e *roster.Endpoint, factor float64, changed bool) {
+	n.loadReporter.RecordSpeed(e.Entry().ID, factor)
+	if changed {
+		decisionLog{logger: n.logger}.logSpeed(e, "")
+	}
+}
+
 // serve runs an instance until ctx ends, and then shuts it down gracefully.
 func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
 	signal.Ignore(syscall.SIGPIPE)
--- a/serving/peerload/report.go
+++ b/serving/peerload/report.go
@@ -63,8 +63,22 @@
 	// Leaving are endpoints that told the sender that they leave, at most maxReportedLeaving in one report. They are not part of the encoded
 	// array, whose length instances of other versions know.
 	Leaving []Departure `cbor:"-"`
+	// Speeds are samples of engines' speeds since the last report, at most maxReportedSpeeds. They are not part of the encoded array either.
+	Speeds []Speed `cbor:"-"`
 }
 
+// Speed is one sample of an engine's speed.
+type Speed struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint wire.EndpointId
+	// Permille is the speed in thousandths of the nominal one.
+	Permille int
+}
+
+// maxReportedSpeeds bounds the samples in one report, and those that are kept for it. With 400 instances that report once a second, each
+// receives about 50 KB/s of them.
+const maxReportedSpeeds = 6
+
 // Shortened returns the report without the second half of its sent parts. If it has none, the report loses the half of its loads
 // with the fewest tokens to prefill, and all but 16 of its paused endpoints.
 func (r Report) Shortened() Report {
--- a/serving/peerload/reporter.go
+++ b/serving/peerload/reporter.go
@@ -29,6 +29,8 @@
 	// so that peers receive them even if one report is lost.
 	unreported   []SentParts
 	reportedOnce []SentParts
+	// speeds are the samples of engines' speeds since the last report, the newest last.
+	speeds []Speed
 	// leavingTurn is the index of the first leaving endpoint in the next report if there are more than fit.
 	leavingTurn int
 	// orders are this instance's stage orders, which are removed by the first report after their deadline.
@@ -57,6 +59,20 @@
 	}
 }
 
+// RecordSpeed adds a sample of an engine's speed, as a multiple of the nominal one, to the next report. The oldest samples are dropped beyond
+// maxReportedSpeeds.
+func (r *Reporter) RecordSpeed(id wire.EndpointId, factor float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.speeds = append(r.speeds, Speed{Endpoint: id, Permille: int(min(factor, maxSpeed) * 1000)})
+	if len(r.speeds) > maxReportedSpeeds {
+		r.speeds = slices.Delete(r.speeds, 0, len(r.speeds)-maxReportedSpeeds)
+	}
+}
+
+// maxSpeed bounds the speeds in reports; estimates are bounded below it.
+const maxSpeed = 100
+
 // SetHoldsLease sets whether this instance believes that it holds the duties lease.
 func (r *Reporter) SetHoldsLease(holds bool) {
 	r.mu.Lock()
@@ -81,6 +97,7 @@
 	report.Changes = changes
 	report.Paused = paused
 	report.Leaving = r.nextLeaving(leaving)
+	report.Speeds, r.speeds = r.speeds, nil
 	report.Sent = append(slices.Clone(r.unreported), r.reportedOnce...)
 	r.lastLoads, r.lastPaused, r.lastLeaving = loads, paused, leaving
 	r.reportedOnce, r.unreported = r.unreported, nil
--- a/serving/peerload/table.go
+++ b/serving/peerload/table.go
@@ -41,6 +41,8 @@
 	onSuspected func(e *roster.Endpoint, peers int, suspected bool)
 	// onLeaving is called when a peer's report says for the first time that an endpoint leaves.
 	onLeaving func(k roster.Key, from wire.InstanceName)
+	// onSpeed is called when a peer's sample has changed an engine's speed.
+	onSpeed func(e *roster.Endpoint, from wire.InstanceName)
 }
 
 // Option configures a Table.
@@ -61,6 +63,13 @@
 	}
 }
 
+// WithSpeed sets a function that is called when a peer's sample has changed the speed of an engine.
+func WithSpeed(onSpeed func(e *roster.Endpoint, from wire.InstanceName)) Option {
+	return func(t *Table) {
+		t.onSpeed = onSpeed
+	}
+}
+
 type endpointSum struct {
 	// prefillTokens and inFlight are the sums over all peers' loads.
 	prefillTokens, inFlight int
@@ -91,6 +100,7 @@
 		sums:        map[wire.EndpointId]*endpointSum{},
 		onSuspected: func(*roster.Endpoint, int, bool) {},
 		onLeaving:   func(roster.Key, wire.InstanceName) {},
+		onSpeed:     func(*roster.Endpoint, wire.InstanceName) {},
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -127,7 +137,12 @@
 			t.onLeaving(k, r.From)
 		}
 	}
-	r.Sent, r.Changes, r.Leaving = nil, nil, nil
+	for _, s := range r.Speeds[:min(len(r.Speeds), maxReportedSpeeds)] {
+		if e, listed := all[s.Endpoint]; listed && e.ObserveSpeed(float64(s.Permille)/1000, now) {
+			t.onSpeed(e, r.From)
+		}
+	}
+	r.Sent, r.Changes, r.Leaving, r.Speeds = nil, nil, nil, nil
 	t.peers[r.From] = &peer{report: r, received: now}
 	t.add(r, 1)
 	if known {
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -31,7 +31,8 @@
 			return j.chooseDecode()
 		}
 		if j.prefill(ctx, e) {
-			return placement.ChooseDecodeNearCache(j.endpoints(j.need(roster.Decode)), &j.request.Prompt, j.source.Endpoint.Entry().Domain)
+			need = j.need(roster.Decode)
+			return placement.ChooseDecodeNearSource(j.endpoints(need), &j.request.Prompt, need, j.source.Endpoint.Entry().Domain, j.relay.clock.Now())
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -68,12 +69,24 @@
 		return false
 	}
 	s.exchange.end(j.relay.clock.Now(), nil)
+	j.observeSpeed(s.exchange)
 	j.recordSuccess(s.exchange)
 	j.source = &Source{Endpoint: s.endpoint, Handle: s.handle}
 	j.observe("Prefilled", s.exchange, s.answer.Status, "", nil)
 	return true
 }
 
+// observeSpeed learns the speed of an engine of a contended service from a prefill that has ended.
+func (j *job) observeSpeed(x *exchange) {
+	if !j.service.Contended {
+		return
+	}
+	factor, changed := placement.ObservePrefill(x.endpoint, x.queued, x.unread, x.ended.Sub(x.began), j.relay.domain, x.ended)
+	if factor > 0 {
+		j.relay.reportSpeed(x.endpoint, factor, changed)
+	}
+}
+
 // prefillTimeout returns how long to wait for a separate prefill before another endpoint is asked.
 func (j *job) prefillTimeout(e *roster.Endpoint) time.Duration {
 	return max(minPrefillTimeout, prefillTimeoutEstimates*j.prefillEstimate(e))
--- a/serving/relay/fake_test.go
+++ b/serving/relay/fake_test.go
@@ -87,6 +87,8 @@
 	attempts                               []relay.Attempt
 	// onSilence is called when an endpoint falls silent, and just before it breaks an answer off.
 	onSilence func()
+	// prefillTime is how long a separate prefill takes.
+	prefillTime time.Duration
 }
 
 func (f *fakeSender) Send(ctx context.Context, e *roster.Endpoint, a *relay.Attempt) (*relay.Answer, error) {
@@ -103,6 +105,7 @@
 		if b != succeeds {
 			return nil, errors.New("reset")
 		}
+		time.Sleep(f.prefillTime)
 		return &relay.Answer{Status: 200, Body: &body{text: "handle"}}, nil
 	}
 	switch b {
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -113,7 +113,10 @@
 
 // need returns the requirements on the endpoint of the next send.
 func (j *job) need(stage roster.Stage) placement.Need {
-	return placement.Need{Stage: stage, Near: j.relay.domain, Excluded: j.excluded, OnDemandOnly: j.route.Kind == route.Once}
+	return placement.Need{
+		Stage: stage, Near: j.relay.domain, Excluded: j.excluded, OnDemandOnly: j.route.Kind == route.Once,
+		Contended: j.service.Contended, TieBreak: j.tieBreak,
+	}
 }
 
 // endpoints returns the endpoints of the service that meet a need. Those in other failure domains that are unreachable are
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -109,6 +109,9 @@
 	// reportCached is called with the parts of prompts that an endpoint newly caches.
 	reportCached func(id wire.EndpointId, parts []roster.PartID)
 
+	// reportSpeed is called with each sample of an engine's speed, and whether the engine's speed has changed by it.
+	reportSpeed func(e *roster.Endpoint, factor float64, changed bool)
+
 	table atomic.Pointer[route.Table]
 	// stopAt is when the instance ends; nil until it is about to stop.
 	stopAt  atomic.Pointer[time.Time]
@@ -127,6 +130,14 @@
 	}
 }
 
+// WithSpeedReporter sets a function that is called with each sample of an engine's speed, as a multiple of the nominal one, and with whether
+// the engine's speed has changed by it, so that it can be reported to the other instances.
+func WithSpeedReporter(report func(e *roster.Endpoint, factor float64, changed bool)) Option {
+	return func(r *Relay) {
+		r.reportSpeed = report
+	}
+}
+
 // WithQuarantine sets the table of the prompt parts that crash endpoints, which peers may share.
 func WithQuarantine(q *quarantine.Table) Option {
 	return func(r *Relay) {
@@ -148,6 +159,7 @@
 		quarantine:   quarantine.New(clock),
 		budgets:      map[wire.ServiceName]*retry.Budget{},
 		reportCached: func(wire.EndpointId, []roster.PartID) {},
+		reportSpeed:  func(*roster.Endpoint, float64, bool) {},
 	}
 	for _, opt := range opts {
 		opt(r)
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -174,6 +174,7 @@
 			s.watchdog.restart(eventTimeoutPauses * j.route.MaxPause)
 			j.meterOnce()
 			s.exchange.countEvent(j.relay.clock.Now())
+			s.prefilled()
 		}
 		j.forwardHead(s)
 		if err := j.deliver(&event); err != nil {
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -18,8 +18,9 @@
 	// paid is set if the send was taken from the retry budget, received once what the endpoint answered is recorded, silent while the endpoint
 	// is avoided as it has sent no data for too long.
 	paid, received, silent bool
-	// release removes the request from the endpoint's load.
-	release func()
+	// release removes the request from the endpoint's load, prefilled its tokens to prefill only. For services that are not contended, release
+	// removes these too, and prefilled does nothing.
+	release, prefilled func()
 
 	// answer and err are what the endpoint answered, both nil before. Once readWhole was called, body is that of the answer. handle is that of
 	// a prefill's KV cache.
@@ -35,12 +36,23 @@
 // newSend returns a send that adds the given number of tokens to prefill to the endpoint's load. It must be closed.
 func (j *job) newSend(ctx context.Context, e *roster.Endpoint, a *Attempt, tokens int) *send {
 	x := &exchange{endpoint: e, began: j.relay.clock.Now(), queued: e.PrefillLoad(), unread: tokens}
-	s := &send{endpoint: e, attempt: a, exchange: x, paid: j.tookRetry, release: e.Begin(tokens)}
+	s := &send{endpoint: e, attempt: a, exchange: x, paid: j.tookRetry}
+	s.addLoad(tokens, j.service.Contended)
 	s.watchdog = newWatchdog(ctx, j.relay.clock, &j.mu)
 	s.watchdog.expired = func() { j.endpointSilent(ctx, s) }
 	return s
 }
 
+// addLoad adds the send to the endpoint's load. For a contended service, the tokens to prefill are removed as soon as the prefill is known to
+// be over.
+func (s *send) addLoad(tokens int, contended bool) {
+	if !contended {
+		s.release, s.prefilled = s.endpoint.Begin(tokens), func() {}
+		return
+	}
+	s.release, s.prefilled = s.endpoint.Begin(0), s.endpoint.BeginPrefill(tokens)
+}
+
 // newRun returns a send that runs the request.
 func (j *job) newRun(ctx context.Context, e *roster.Endpoint, source *Source) *send {
 	a := j.newAttempt()
@@ -64,6 +76,7 @@
 func (s *send) close() {
 	s.closeBody()
 	s.watchdog.close()
+	s.prefilled()
 	s.release()
 }
 
--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -158,6 +158,18 @@
 	}
 }
 
+// BeginPrefill adds a number of tokens to prefill to this instance's load without a further request. The returned function removes them again;
+// calls after the first have no effect.
+func (e *Endpoint) BeginPrefill(tokens int) func() {
+	e.prefillTokens.Add(int64(tokens))
+	var done atomic.Bool
+	return func() {
+		if !done.Swap(true) {
+			e.prefillTokens.Add(-int64(tokens))
+		}
+	}
+}
+
 // MarkFailed records that the endpoint failed and pauses it, each time for longer up to maxPause. It returns the length of
 // the pause, or 0 if the endpoint was paused already. The endpoint's KV cache counts as lost.
 func (e *Endpoint) MarkFailed(now time.Time) time.Duration {
