Add the command explain, which says where a request would go and why

An operator who asks why a request went to an engine had only the log of requests that were sent. router explain asks a running instance over its metrics listener and shows the route, workspace, rank, the endpoints with their costs, the ages of what is known, and whether the request would run, wait or be refused, as text or JSON. It sends nothing and changes nothing; bad input ends with exit code 2. The outcome wait comes from a forecast of admission control, which serve passes as nil until there is one.

--- a/router/cmd_root.go
+++ b/router/cmd_root.go
@@ -13,7 +13,7 @@
 scales endpoints and changes engines' stages. At SIGTERM it stops being ready, finishes open requests and exits.`
 
 func newRootCommand() *cobra.Command {
-	root := command.NewGroup(programName, "forward callers' requests on the users' platform", newServeCommand(), newCheckCommand())
+	root := command.NewGroup(programName, "forward callers' requests on the users' platform", newServeCommand(), newCheckCommand(), newExplainCommand())
 	root.Long = description
 	root.Annotations = map[string]string{manual.ExitStatus: command.ExitStatus, manual.SeeAlso: "entry(1)"}
 	return root
--- a/router/serve.go
+++ b/router/serve.go
@@ -195,7 +195,9 @@
 	if err != nil {
 		return err
 	}
-	return serveAt(process.NewServer(process.NewOperations().Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
+	operations := process.NewOperations()
+	operations.Router.Get(explainPath, n.serveExplain)
+	return serveAt(process.NewServer(operations.Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
 }
 
 // waitForStop cleans up periodically, and reloads the settings when their file changes or at SIGHUP, until ctx ends. It returns
--- a/serving/peerload/table.go
+++ b/serving/peerload/table.go
@@ -207,6 +207,21 @@
 	return list
 }
 
+// ReportAges returns the number of peers that report, and the ages of the newest and the oldest of their last reports.
+func (t *Table) ReportAges(now time.Time) (peers int, newest, oldest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		age := now.Sub(p.received)
+		if peers == 0 || age < newest {
+			newest = age
+		}
+		oldest = max(oldest, age)
+		peers++
+	}
+	return peers, newest, oldest
+}
+
 // add adds a report to the sums with sign 1, or subtracts it with sign -1.
 func (t *Table) add(r Report, sign int) {
 	for _, l := range r.Loads {
--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -41,7 +41,7 @@
 	if e.Entry().Stage == roster.Decode {
 		rate = decodePrefillRate
 	}
-	return time.Duration(prefillMillis(e, p, rate, now) * float64(time.Millisecond))
+	return toDuration(prefillMillis(e, p, rate, now))
 }
 
 // prefillMillis returns the estimate of PrefillTime in milliseconds, for a prefill rate in tokens per millisecond.
--- a/serving/placement/spread.go
+++ b/serving/placement/spread.go
@@ -96,6 +96,18 @@
 	return c
 }
 
+// countCopies sets copies.
+func (c *prefixCost) countCopies(first *ranking, p *Prompt, now time.Time) {
+	if c.shared == 0 {
+		return
+	}
+	for _, e := range first.engines[:first.n] {
+		if e.CachedParts(p.IDs, now) >= c.shared {
+			c.copies++
+		}
+	}
+}
+
 // of returns the cost of an engine's rank.
 func (c *prefixCost) of(rank int, cached bool) float64 {
 	switch {
@@ -114,11 +126,7 @@
 	for _, e := range eligible {
 		first.add(e, rendezvousWeight(c.key, e), candidates)
 	}
-	for _, e := range first.engines[:first.n] {
-		if c.shared > 0 && e.CachedParts(p.IDs, now) >= c.shared {
-			c.copies++
-		}
-	}
+	c.countCopies(&first, p, now)
 	var best, other *roster.Endpoint
 	bestCost, otherCost := math.Inf(1), math.Inf(1)
 	for _, e := range eligible {
--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -205,6 +205,11 @@
 	return e.speed.Factor(now)
 }
 
+// SpeedAge returns the time since the last sample of the endpoint's speed, and whether the speed has been learned.
+func (e *Endpoint) SpeedAge(now time.Time) (age time.Duration, learned bool) {
+	return e.speed.Age(now), e.speed.Known(now)
+}
+
 // ObserveSpeed adds a sample of the endpoint's speed, as a multiple of the nominal one, and reports whether Speed has changed.
 func (e *Endpoint) ObserveSpeed(factor float64, now time.Time) bool {
 	return e.speed.Observe(factor, now)
--- a/serving/route/table.go
+++ b/serving/route/table.go
@@ -86,6 +86,16 @@
 	return t.keys[key]
 }
 
+// WorkspaceNamed returns the workspace with a name that holds a key, or nil.
+func (t *Table) WorkspaceNamed(name wire.WorkspaceName) *Workspace {
+	for _, w := range t.keys {
+		if w.Name == name {
+			return w
+		}
+	}
+	return nil
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
