--- a/serving/peerload/report.go
+++ b/serving/peerload/report.go
@@ -76,7 +76,7 @@
 }
 
 // maxReportedSpeeds bounds the samples in one report, and those that are kept for it. With 400 instances that report once a second, each
-// receives about 50 KB/s of them.
+// receives about 41 KB/s of them.
 const maxReportedSpeeds = 6
 
 // Shortened returns the report without the second half of its sent parts. If it has none, the report loses the half of its loads
--- a/serving/placement/explain.go
+++ b/serving/placement/explain.go
@@ -38,7 +38,7 @@
 	list := make([]Cost, 0, len(eligible))
 	for _, e := range eligible {
 		parts := e.CachedParts(p.IDs, now)
-		cached := c.shared > 0 && parts >= c.shared
+		cached := c.cached(parts)
 		rank := first.rank(e)
 		x := Cost{Endpoint: e, Rank: rank, Candidate: !need.Contended || rank < candidates || cached, Uncached: p.UncachedTokens(parts)}
 		millis := engineMillis(e, x.Uncached, rate, now)
--- a/serving/placement/spread.go
+++ b/serving/placement/spread.go
@@ -102,7 +102,7 @@
 		return
 	}
 	for _, e := range first.engines[:first.n] {
-		if e.CachedParts(p.IDs, now) >= c.shared {
+		if c.cached(e.CachedParts(p.IDs, now)) {
 			c.copies++
 		}
 	}
@@ -127,33 +127,47 @@
 		first.add(e, rendezvousWeight(c.key, e), candidates)
 	}
 	c.countCopies(&first, p, now)
-	var best, other *roster.Endpoint
-	bestCost, otherCost := math.Inf(1), math.Inf(1)
+	var best *roster.Endpoint
+	bestCost := math.Inf(1)
 	for _, e := range eligible {
-		parts := e.CachedParts(p.IDs, now)
-		cached := c.shared > 0 && parts >= c.shared
-		rank := first.rank(e)
-		cost := engineMillis(e, p.UncachedTokens(parts), rate, now) + c.of(rank, cached)
-		if e.Entry().Domain != need.Near {
-			cost += crossDomainMillis
-		}
-		noise := c.noise * exponential(need.TieBreak, e)
-		if rank == candidates && !cached {
-			if cost += overflowNoise * noise; cost < otherCost {
-				other, otherCost = e, cost
-			}
+		parts, rank := e.CachedParts(p.IDs, now), first.rank(e)
+		if rank == candidates && !c.cached(parts) {
 			continue
 		}
-		if cost += noise; cost < bestCost {
+		if cost := c.total(e, p, need, rank, parts, rate, now); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
-	if other != nil && bestCost > overflowMillis && need.TieBreak%overflowShare == 0 && otherCost < bestCost {
-		return other
+	if bestCost <= overflowMillis || need.TieBreak%overflowShare != 0 {
+		return best
+	}
+	c.noise *= overflowNoise
+	for _, e := range eligible {
+		parts := e.CachedParts(p.IDs, now)
+		if c.cached(parts) || first.rank(e) < candidates {
+			continue
+		}
+		if cost := c.total(e, p, need, candidates, parts, rate, now); cost < bestCost {
+			best, bestCost = e, cost
+		}
 	}
 	return best
 }
 
+// cached reports whether an engine that has the first parts of the prompt cached has all shared ones.
+func (c *prefixCost) cached(parts int) bool {
+	return c.shared > 0 && parts >= c.shared
+}
+
+// total returns the cost of an engine with its rank and noise, given how many parts of the prompt it has cached.
+func (c *prefixCost) total(e *roster.Endpoint, p *Prompt, need Need, rank, parts int, rate float64, now time.Time) float64 {
+	cost := engineMillis(e, p.UncachedTokens(parts), rate, now) + c.of(rank, c.cached(parts)) + c.noise*exponential(need.TieBreak, e)
+	if e.Entry().Domain != need.Near {
+		cost += crossDomainMillis
+	}
+	return cost
+}
+
 // spreadDecode returns the engine of a contended service that decodes from a KV cache in a failure domain: the one with the least cost among
 // a few that are drawn at random, most of them in that domain. It returns nil for an empty list.
 func spreadDecode(eligible []*roster.Endpoint, domain wire.DomainName, tieBreak uint64, now time.Time) *roster.Endpoint {
