--- a/serving/placement/spread.go
+++ b/serving/placement/spread.go
@@ -33,8 +33,9 @@
 	overflowShare  = 32
 	// overflowNoise is the mean of the noise among these engines, as a multiple of that among candidates.
 	overflowNoise = 4
-	// sampledNear and sampledFar are how many decode engines are considered in the failure domain of the KV cache and in others.
-	sampledNear = 3
+	// sampledNear and sampledFar are how many decode engines are considered in the failure domain of the KV cache and in others. With reports that are
+	// older than most requests last, more than two make all instances choose the same engines.
+	sampledNear = 2
 	sampledFar  = 1
 )
 
