--- a/router/serve.go
+++ b/router/serve.go
@@ -99,19 +99,28 @@
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
 	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
 	observer := decisionLog{logger: logger}
-	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer))
+	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer),
+		peerload.WithSpeed(observer.logSpeed))
 	n.quarantine = quarantine.New(clock, quarantine.WithRank(n.peerLoads.Rank), quarantine.WithObserver(observer.logQuarantine))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(shareOf(s.MemoryBytes)))
 	n.quotas = newQuotaRunner(s, n)
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent),
-		relay.WithQuarantine(n.quarantine), relay.WithQuota(n.quotas.manager))
+		relay.WithQuarantine(n.quarantine), relay.WithQuota(n.quotas.manager), relay.WithSpeedReporter(n.reportSpeed))
 	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
 	n.callerConns = connections.Track(n.callerServer, clock, connections.WithUnreadObserver(observer.logClosedUnread))
 	return n
 }
 
+// reportSpeed reports a sample of an engine's speed to the peers, and logs a change of the engine's speed.
+func (n *node) reportSpeed(e *roster.Endpoint, factor float64, changed bool) {
+	n.loadReporter.RecordSpeed(e.Entry().ID, factor)
+	if changed {
+		decisionLog{logger: n.logger}.logSpeed(e, "")
+	}
+}
+
 // serve runs an instance until ctx ends, and then shuts it down gracefully.
 func serve(ctx context.Context, s *platform.Settings, o options, logger *log.Logger) error {
 	signal.Ignore(syscall.SIGPIPE)
@@ -191,7 +200,9 @@
 	if err != nil {
 		return err
 	}
-	return serveAt(process.NewServer(process.NewOperations().Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
+	operations := process.NewOperations()
+	operations.Router.Get(explainPath, n.serveExplain)
+	return serveAt(process.NewServer(operations.Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
 }
 
 // waitForStop cleans up periodically, and reloads the settings when their file changes or at SIGHUP, until ctx ends. It returns
--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/speed"
 	"cowslipshunt.example/wire"
 )
 
@@ -70,6 +71,8 @@
 	// suspected is set while several other instances avoid the endpoint after failures.
 	suspected atomic.Bool
 	cache     cache
+	// speed is learned for the engines of contended services only.
+	speed speed.Estimate
 	// restrictions are what this incarnation has asked of this instance.
 	restrictions *restrictions
 }
@@ -155,6 +158,18 @@
 	}
 }
 
+// BeginPrefill adds a number of tokens to prefill to this instance's load without a further request. The returned function removes them again;
+// calls after the first have no effect.
+func (e *Endpoint) BeginPrefill(tokens int) func() {
+	e.prefillTokens.Add(int64(tokens))
+	var done atomic.Bool
+	return func() {
+		if !done.Swap(true) {
+			e.prefillTokens.Add(-int64(tokens))
+		}
+	}
+}
+
 // MarkFailed records that the endpoint failed and pauses it, each time for longer up to maxPause. It returns the length of
 // the pause, or 0 if the endpoint was paused already. The endpoint's KV cache counts as lost.
 func (e *Endpoint) MarkFailed(now time.Time) time.Duration {
@@ -184,3 +199,18 @@
 func (e *Endpoint) MarkWorking() bool {
 	return e.backoff.reset()
 }
+
+// Speed returns how fast the endpoint prefills prompts, as a multiple of the nominal speed. It is 1 until it has been learned.
+func (e *Endpoint) Speed(now time.Time) float64 {
+	return e.speed.Factor(now)
+}
+
+// SpeedAge returns the time since the last sample of the endpoint's speed, and whether the speed has been learned.
+func (e *Endpoint) SpeedAge(now time.Time) (age time.Duration, learned bool) {
+	return e.speed.Age(now), e.speed.Known(now)
+}
+
+// ObserveSpeed adds a sample of the endpoint's speed, as a multiple of the nominal one, and reports whether Speed has changed.
+func (e *Endpoint) ObserveSpeed(factor float64, now time.Time) bool {
+	return e.speed.Observe(factor, now)
+}
