--- a/shared/connections/conn.go
+++ b/shared/connections/conn.go
@@ -98,6 +98,11 @@
 	return errors.ErrUnsupported
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 func (c *conn) markIdle(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
