Reject statuses above 599 of endpoints

A status outside 200 to 599 is not a response. 000 and 099 were rejected already; 600 and 999 were passed on to callers. They now count as a broken answer, so that nothing runs twice.

go test -race -count=1 ./link passed.

--- a/shared/link/conn.go
+++ b/shared/link/conn.go
@@ -25,8 +25,9 @@
 	maxInterimResponses = 8
 	// maxCarried is how many exchanges a connection remembers.
 	maxCarried = 16
-	// minStatus is the lowest status code of a response that is not interim.
+	// minStatus is the lowest status code of a response that is not interim, maxStatus the highest one.
 	minStatus = 200
+	maxStatus = 599
 )
 
 // Conn is a connection to an endpoint. It carries one exchange (a request and its response) at a time.
@@ -97,10 +98,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= minStatus {
+		if resp.StatusCode >= minStatus && resp.StatusCode <= maxStatus {
 			return resp, nil
 		}
-		if resp.StatusCode < http.StatusContinue || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, &UnexpectedStatusError{Status: resp.StatusCode}
 		}
 	}
--- a/shared/link/fuzz_test.go
+++ b/shared/link/fuzz_test.go
@@ -61,7 +61,7 @@
 		if took := time.Since(began); took > 5*time.Second {
 			t.Fatalf("reading the head took %v", took)
 		}
-		if err == nil && (resp.StatusCode < 200 || resp.StatusCode > 999) {
+		if err == nil && (resp.StatusCode < 200 || resp.StatusCode > 599) {
 			t.Fatalf("got status %d from %q", resp.StatusCode, bytes.TrimSpace(data))
 		}
 	})
