Report a lost write of a request at the end of its response

An endpoint that responds to a long upload at once, with neither a length nor chunks, and resets the connection was taken to have answered in full: the kernel reports the reset to whichever call on the socket comes first, and Send dropped the error of its background write. The reader then saw an orderly end. A response that does not state its own end is now complete only if the request was written. All reads of an endpoint's response pass through this: whole answers, streams, prefills and stale responses. What broke off so counts as any broken answer.

--- a/shared/link/conn.go
+++ b/shared/link/conn.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -42,8 +41,8 @@
 	carried []string
 	// idleUntil is the time from which the connection is no longer reused, as the endpoint may close it.
 	idleUntil time.Time
-	// written is set once the whole request has been written.
-	written atomic.Bool
+	// write is the write of the present request.
+	write write
 	// detachContext stops the exchange's context from closing the connection; nil before the first exchange.
 	detachContext func() bool
 }
@@ -56,22 +55,20 @@
 // Send writes a request. What the kernel does not accept at once is written in the background, as an endpoint may answer before it
 // has read a long body. The connection is closed when ctx ends, until the connection is put back into its pool.
 //
-// A failed write is not reported: reading the response then fails too, unless the endpoint has responded before.
+// A failed write is not reported at once, as the endpoint may have responded before. If the response ends with its connection, its body
+// ends with the error.
 func (c *Conn) Send(ctx context.Context, request net.Buffers) {
-	c.written.Store(false)
 	c.detachContext = context.AfterFunc(ctx, c.Close)
 	rest, err := writeAvailable(c.conn, request)
-	if err != nil {
-		return
-	}
-	if len(rest) == 0 {
-		c.written.Store(true)
+	c.write = write{sent: true, err: err}
+	if err != nil || len(rest) == 0 {
 		return
 	}
+	done := make(chan struct{})
+	c.write.done = done
 	go func() {
-		if _, err := rest.WriteTo(c.conn); err == nil {
-			c.written.Store(true)
-		}
+		defer close(done)
+		_, c.write.err = rest.WriteTo(c.conn)
 	}()
 }
 
@@ -99,6 +96,9 @@
 			return nil, err
 		}
 		if resp.StatusCode >= minStatus && resp.StatusCode <= maxStatus {
+			if !delimitsItself(resp) && c.write.sent {
+				resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, write: &c.write}
+			}
 			return resp, nil
 		}
 		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
@@ -111,7 +111,7 @@
 // Reusable reports whether the connection may carry another exchange, after the response has been read to its end: the request was
 // written completely, the endpoint did not ask to close the connection, and nothing follows the response in the read buffer.
 func (c *Conn) Reusable(resp *http.Response) bool {
-	return c.written.Load() && !resp.Close && c.r.Buffered() == 0
+	return c.write.succeeded() && !resp.Close && c.r.Buffered() == 0
 }
 
 // Close closes the connection, which makes the endpoint stop work on the exchange.
