Report a lost write in calls over net/http's transport

The transport takes a response that ends with its connection as complete, also if the kernel has told a reset only to the write of the request. Connections of ReportingDial return the error of a failed or unfinished write in place of io.EOF.

--- a/entry/domain/engine.go
+++ b/entry/domain/engine.go
@@ -13,6 +13,7 @@
 
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/lease"
+	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/platform"
 	"cowslipshunt.example/wire"
 )
@@ -31,7 +32,7 @@
 
 // NewSender returns a sender with a timeout for each call. Its connections are guarded by the keeper's lease.
 func NewSender(keeper *lease.Keeper, platformAddress string, timeout time.Duration) *Sender {
-	dial := keeper.GuardedDial((&net.Dialer{Timeout: timeout}).DialContext)
+	dial := link.ReportingDial(link.DialFunc(keeper.GuardedDial((&net.Dialer{Timeout: timeout}).DialContext)))
 	transport := &http.Transport{DialContext: dial, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: caller.MaxResponseHeaderBytes}
 	return &Sender{
 		engines:  &http.Client{Transport: transport, Timeout: timeout},
--- a/shared/caller/transport.go
+++ b/shared/caller/transport.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"cowslipshunt.example/shared/link"
 )
 
 // Limits of the connections to endpoints.
@@ -23,7 +25,7 @@
 func NewTransport(headerTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            link.ReportingDial(dialer.DialContext),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
