Bound heads and connections of callers, readiness checks and metrics

A process ran out of memory over the heads of requests. All listeners now share one budget for heads, an eighth of the memory of the settings, and one bound on connections, half of the descriptors; readiness checks and metrics have at most 16 connections each. The longest head and its time come from the configuration, for heads that begin after it is in force; before, 64 KB and 5 s apply. Refusals are counted in router_head_refusals_total by reason, and one a second of each reason is logged as HeadRefused.

--- a/router/caller_handler.go
+++ b/router/caller_handler.go
@@ -11,6 +11,7 @@
 	"cowslipshunt.example/serving/intake"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/route"
+	"cowslipshunt.example/shared/process"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/phuslu/log"
@@ -18,8 +19,10 @@
 
 // Bounds of callers' connections.
 const (
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the time for a head until a configuration sets another limit.
+	headerTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a head in net/http; the limit in force, in headLimits, is lower.
+	maxHeaderBytes = 1 << 20
 )
 
 // requestRelay serves requests. It is implemented by *relay.Relay.
@@ -120,5 +123,5 @@
 		}
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	})
-	return &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, IdleTimeout: process.IdleTimeout, MaxHeaderBytes: process.MaxHeaderBytes}
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -23,6 +23,7 @@
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/serving/truetime"
 	"cowslipshunt.example/shared/connections"
+	"cowslipshunt.example/shared/heads"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/process"
@@ -67,6 +68,7 @@
 	// callerConns are the connections to callerServer.
 	callerServer *http.Server
 	callerConns  *connections.Tracker
+	heads        *heads.Budget
 	peers        *peers
 	slackShare   *retry.SlackShare
 	// requestCtx is the base context of all requests of callers; endRequests ends them with a cause.
@@ -107,6 +109,7 @@
 	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
 	n.callerConns = connections.Track(n.callerServer, clock, connections.WithUnreadObserver(observer.logClosedUnread))
+	n.heads = newHeadBudget(s, logger)
 	return n
 }
 
@@ -172,11 +175,12 @@
 // listen starts the instance's HTTP servers.
 func (n *node) listen(o options) error {
 	s := n.settings.Load()
-	if err := serveAt(n.callerServer, s.CallerAddress, n.listenErrs, listenForCallers, n.callerConns.Listener); err != nil {
+	guard := n.heads.Guard(n.callerServer, maxConns(s), n.headLimits)
+	if err := serveAt(n.callerServer, s.CallerAddress, n.listenErrs, listenForCallers, guard, n.callerConns.Listener); err != nil {
 		return err
 	}
 	readyServer := newReadyServer(func() bool { return n.relay.Table() != nil && !n.callerHandler.stopping.Load() })
-	if err := serveAt(readyServer, s.ReadyAddress, n.listenErrs); err != nil {
+	if err := serveAt(readyServer, s.ReadyAddress, n.listenErrs, n.heads.Guard(readyServer, maxOperationsConns, operationsLimits)); err != nil {
 		return err
 	}
 	if o.Metrics == "" {
@@ -186,7 +190,8 @@
 	if err != nil {
 		return err
 	}
-	return serveAt(process.NewServer(process.NewOperations().Router), net.JoinHostPort(host, o.Metrics), n.listenErrs)
+	metricsServer := process.NewServer(process.NewOperations().Router)
+	return serveAt(metricsServer, net.JoinHostPort(host, o.Metrics), n.listenErrs, n.heads.Guard(metricsServer, maxOperationsConns, operationsLimits))
 }
 
 // waitForStop cleans up periodically, and reloads the settings when their file changes or at SIGHUP, until ctx ends. It returns
