--- a/router/head_budget.go
+++ b/router/head_budget.go
@@ -69,6 +69,8 @@
 	switch r.Reason {
 	case heads.TooLarge:
 		return platform.EncodeRefusal(http.StatusRequestHeaderFieldsTooLarge, relay.Refusal{Verdict: relay.TooLarge, Reason: "the head exceeds the limit"})
+	case heads.Framing:
+		return platform.EncodeRefusal(http.StatusBadRequest, relay.Refusal{Verdict: relay.Malformed, Reason: "the head has a Content-Length and a Transfer-Encoding"})
 	case heads.TooSlow:
 		return platform.EncodeRefusal(http.StatusRequestTimeout, relay.Refusal{Verdict: relay.NotRun, Reason: "the head did not come in time"})
 	}
--- a/shared/heads/budget.go
+++ b/shared/heads/budget.go
@@ -43,6 +43,8 @@
 	TooLarge Reason = "HeadTooLarge"
 	// TooSlow is a head that was not complete in time.
 	TooSlow Reason = "HeadTooSlow"
+	// Framing is a head that says in two ways where its body ends.
+	Framing Reason = "TwoFramings"
 	// Memory is a head that was refused as heads fill the budget.
 	Memory Reason = "HeadMemory"
 	// Connections is a connection that was closed as there are too many.
--- a/shared/heads/conn.go
+++ b/shared/heads/conn.go
@@ -123,6 +123,9 @@
 	if c.scan.bytes > c.limits.MaxBytes {
 		return c.refuse(TooLarge, false)
 	}
+	if c.scan.ended && c.scan.conflicting() {
+		return c.refuse(Framing, false)
+	}
 	if !c.group.budget.charge(c, byteCost*int64(bytes)+fieldCost*int64(fields)) {
 		return c.refuse(Memory, false)
 	}
