Close connections whose answers are not read for new ones

Callers that send requests one after the other and read no answer took connections for ever, as nothing bounds a write to a caller. Once there are too many connections, and each has a request, the one whose write has been blocked for longest, and for 10 s at least, is closed for a new one. Connections that were refused and linger are not told to close again, which had counted them twice.

--- a/shared/heads/budget.go
+++ b/shared/heads/budget.go
@@ -23,6 +23,8 @@
 	ordinaryCost = 16 << 10
 	// ordinaryReserve is the share of the budget, as a divisor, that is left to ordinary heads.
 	ordinaryReserve = 4
+	// defaultStall is for how long a write of an answer has to be blocked before its connection is closed for a new one.
+	defaultStall = 10 * time.Second
 	// retryAfter is when a caller that was refused for the bounds of this package should return.
 	retryAfter = time.Second
 )
@@ -47,6 +49,8 @@
 	Framing Reason = "TwoFramings"
 	// Memory is a head that was refused as heads fill the budget.
 	Memory Reason = "HeadMemory"
+	// Unread is an answer that the caller does not read while there are too many connections.
+	Unread Reason = "AnswerUnread"
 	// Connections is a connection that was closed as there are too many.
 	Connections Reason = "Connections"
 )
@@ -70,6 +74,7 @@
 	// encode returns a response for a refusal, observe is told of each.
 	encode  func(Refusal) []byte
 	observe func(Refusal)
+	stall   time.Duration
 	// held is the cost of all heads.
 	held atomic.Int64
 
@@ -80,10 +85,22 @@
 	leaving int
 }
 
+// Option changes a Budget.
+type Option func(*Budget)
+
+// WithStall sets for how long a write of an answer has to be blocked before its connection may be closed for a new one.
+func WithStall(d time.Duration) Option {
+	return func(b *Budget) { b.stall = d }
+}
+
 // New returns a budget of maxCost bytes for the heads of at most maxConns connections. encode returns the response of a refusal, and observe
 // is called with each refusal; it must not block.
-func New(maxCost int64, maxConns int, encode func(Refusal) []byte, observe func(Refusal)) *Budget {
-	return &Budget{maxCost: maxCost, maxConns: maxConns, encode: encode, observe: observe, open: map[*conn]struct{}{}}
+func New(maxCost int64, maxConns int, encode func(Refusal) []byte, observe func(Refusal), options ...Option) *Budget {
+	b := &Budget{maxCost: maxCost, maxConns: maxConns, encode: encode, observe: observe, stall: defaultStall, open: map[*conn]struct{}{}}
+	for _, o := range options {
+		o(b)
+	}
+	return b
 }
 
 // Held returns the cost of the heads that are held.
--- a/shared/heads/conn.go
+++ b/shared/heads/conn.go
@@ -40,6 +40,8 @@
 	cost atomic.Int64
 	// deadline is the time limit of a head of which a part has been read, in Unix nanoseconds; 0 if there is none.
 	deadline atomic.Int64
+	// writing is when the present write began, in Unix nanoseconds; 0 if there is none.
+	writing atomic.Int64
 	// refused is set once a refusal was written, which the caller still has to read.
 	refused atomic.Bool
 	closed  atomic.Bool
@@ -140,6 +142,14 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Store(time.Now().UnixNano())
+	n, err := c.Conn.Write(p)
+	c.writing.Store(0)
+	return n, err
+}
+
 // resume lets a connection stay that was told to close if a request has arrived on it since.
 func (c *conn) resume() bool {
 	return c.phase.Load() == waiting|evicted && c.kept.Load() && link.HasBytes(c.Conn) && c.group.budget.takeBack(c, waiting) == nil
--- a/shared/heads/heads_test.go
+++ b/shared/heads/heads_test.go
@@ -45,12 +45,16 @@
 		case s.reasons <- r.Reason:
 		default:
 		}
-	})
+	}, heads.WithStall(headTimeout))
 	srv := &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, err := io.Copy(io.Discard, r.Body)
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if r.URL.Path == "/long" {
+			_, _ = w.Write(make([]byte, 32<<20))
+			return
+		}
 		_, _ = fmt.Fprint(w, n)
 	})}
 	s.conns = connections.Track(srv, clockwork.NewRealClock())
@@ -198,3 +202,20 @@
 		}
 	}
 }
+
+// TestCallersThatReadNothingGiveWay guards against callers that take all connections for ever: they send requests one after the other, and read
+// no answer.
+func TestCallersThatReadNothingGiveWay(t *testing.T) {
+	const request = "GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
+	s := newServer(t, 1<<30, 2)
+	s.dial(strings.Repeat(request, 5))
+	s.dial(strings.Repeat(request, 5))
+	served := false
+	for deadline := time.Now().Add(waitTimeout); !served && time.Now().Before(deadline); time.Sleep(headTimeout / 5) {
+		_, in := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		served = status(in) == http.StatusOK
+	}
+	if !served {
+		t.Error("no other caller is served")
+	}
+}
--- a/shared/heads/listener.go
+++ b/shared/heads/listener.go
@@ -59,6 +59,11 @@
 	}
 	victim := b.oldest(ownFull, g)
 	admitted := victim != nil && b.leaving < maxLeaving && b.evict(victim, Connections)
+	var stalled *conn
+	if victim == nil && b.leaving < maxLeaving {
+		stalled = b.abortStalled(ownFull, g)
+		admitted = stalled != nil
+	}
 	b.add(c)
 	if !admitted {
 		c.leaving = true
@@ -66,6 +71,9 @@
 	}
 	full := b.leaving > maxLeaving
 	b.mu.Unlock()
+	if stalled != nil {
+		b.observe(Refusal{Remote: stalled.RemoteAddr(), Reason: Unread, Silent: true, Held: b.Held(), Open: b.Open()})
+	}
 	if !admitted {
 		// A connection beyond those that may linger is closed without a refusal.
 		c.refuse(Connections, full)
@@ -99,7 +107,7 @@
 func (b *Budget) oldest(own bool, g *group) *conn {
 	var oldest *conn
 	for c := range b.open {
-		if own && c.group != g || !c.evictable() {
+		if own && c.group != g || c.leaving || !c.evictable() {
 			continue
 		}
 		if oldest == nil || c.kept.Load() != oldest.kept.Load() && !c.kept.Load() ||
@@ -110,10 +118,31 @@
 	return oldest
 }
 
+// abortStalled ends the write that has been blocked for longest, if that is longer than b.stall, and returns its connection. The request's handler
+// then finds that its caller does not read the answer. With own set, it is one of g. b.mu is held.
+func (b *Budget) abortStalled(own bool, g *group) *conn {
+	var longest *conn
+	since := time.Now().Add(-b.stall).UnixNano()
+	for c := range b.open {
+		if own && c.group != g || c.leaving {
+			continue
+		}
+		if began := c.writing.Load(); began != 0 && began < since {
+			longest, since = c, began
+		}
+	}
+	if longest != nil {
+		longest.leaving = true
+		b.leaving++
+		_ = longest.Conn.SetWriteDeadline(longAgo)
+	}
+	return longest
+}
+
 // evict makes the server close a connection. It returns false if that has a whole request by now. b.mu is held.
 func (b *Budget) evict(c *conn, reason Reason) bool {
 	phase := c.phase.Load()
-	if phase != waiting && phase != reading {
+	if phase != waiting && phase != reading || c.leaving {
 		return false
 	}
 	c.reason = reason
