Reject statuses above 599 in entries

An endpoint's status of 600 or 999 was passed on to callers, and one with the header of a request that did not run was taken as such. Such a response now counts as a broken answer: the caller gets 502, and a request that may run once is not sent again.

--- a/entry/answer/attempt.go
+++ b/entry/answer/attempt.go
@@ -14,6 +14,7 @@
 
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/endpoint"
+	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/wire"
 	"github.com/tmaxmax/go-sse"
@@ -154,6 +155,9 @@
 	if resp.StatusCode == http.StatusOK {
 		return nil
 	}
+	if err := link.CheckStatus(resp.StatusCode); err != nil {
+		return &attemptError{Err: err}
+	}
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	err := fmt.Errorf("engine answered with status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	switch {
--- a/entry/service/send.go
+++ b/entry/service/send.go
@@ -8,6 +8,7 @@
 
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/endpoint"
+	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/shared/queue"
 	"cowslipshunt.example/wire"
@@ -112,10 +113,19 @@
 		r.Header.Set(caller.HeaderWorkspace, string(c.admitted.Workspace.Name))
 	}
 	caller.SetNonReplayableBody(r, c.body)
+	transport := s.singleUseTransport
 	if c.route.Repeatable {
-		return s.pooledTransport.RoundTrip(r)
+		transport = s.pooledTransport
 	}
-	return s.singleUseTransport.RoundTrip(r)
+	resp, err := transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := link.CheckStatus(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // rejectedNotRun reports whether an endpoint rejected a request and states that it ran nothing.
--- a/shared/link/limit.go
+++ b/shared/link/limit.go
@@ -23,6 +23,14 @@
 	return fmt.Sprintf("the response has the unexpected status %03d", e.Status)
 }
 
+// CheckStatus returns an *UnexpectedStatusError for a status that no final response can have.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return &UnexpectedStatusError{Status: status}
+	}
+	return nil
+}
+
 // limitedReader reads from r, at most a number of bytes while a limit is set.
 type limitedReader struct {
 	r       io.Reader
