Report a lost write of forwarded requests

The forwarder replaces the dial function of its transport, so that a peer's response that a reset had cut short was still passed on as complete. Its connections now report a lost write as those to endpoints do.

--- a/entry/peer/forwarder.go
+++ b/entry/peer/forwarder.go
@@ -11,6 +11,7 @@
 	"cowslipshunt.example/entry/admission"
 	"cowslipshunt.example/shared/caller"
 	"cowslipshunt.example/shared/channel"
+	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/shared/problem"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
@@ -70,7 +71,7 @@
 // secret. headerTimeout bounds the wait for the header of a peer's response.
 func NewForwarder(self wire.Hello, peers []Entry, secret channel.Secret, links Links, clock clockwork.Clock, headerTimeout time.Duration) *Forwarder {
 	transport := caller.NewSingleUseTransport(headerTimeout)
-	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	transport.DialContext = link.ReportingDial((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	f := &Forwarder{self: self, secret: secret, links: links, transport: transport, clock: clock, pausedUntil: map[wire.InstanceName]time.Time{}}
 	for _, p := range peers {
 		if p.Domain != self.Domain {
