Take the platform's names out of the test of callers' shapes

TestPlatformNamesStayInThisFolder failed since the test of shapes was added, as that held names of the platform's fields. It now takes them from platformtest. go test -race -count=1 ./platform and go test -count=1 -run TestShapes ./router passed.

--- a/router/caller_shapes_test.go
+++ b/router/caller_shapes_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"cowslipshunt.example/platform/platformtest"
 )
 
 // maxShapeBytes bounds what is sent of a shape that has no end.
@@ -26,9 +28,12 @@
 // callerShapes has the shapes and their outcomes.
 func callerShapes() []callerShape {
 	const line, host = "POST /a/b HTTP/1.1\r\n", "Host: h.example\r\n"
-	const identity = "Cowslipshunt-Request-Id: s\r\nAuthorization: Bearer k\r\n"
 	const head = line + host
-	const chunked = head + identity + "Transfer-Encoding: chunked\r\n\r\n"
+	h, fields := http.Header{}, strings.Builder{}
+	platformtest.Identify(h, "s", "k")
+	_ = h.Write(&fields)
+	identity := fields.String()
+	chunked := head + identity + "Transfer-Encoding: chunked\r\n\r\n"
 	long := strings.Repeat("a", 4<<10)
 	bad, tooLarge := []int{400}, []int{413}
 	return []callerShape{
