Add a stand-in of a store that is restored from a backup

The stand-in goes back to an older state in a new era, answers feeds from a version that it no longer has with 410, and assigns the versions since the backup again. Its responses carry the era once there was a restore.

shared/era joins a version with its era in one number, which is ordered by era first and equals the version in era 0. The table of tabletest can be restored, too; its client notes eras as the adapter will.

--- a/shared/tabletest/table.go
+++ b/shared/tabletest/table.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 )
 
@@ -45,6 +46,8 @@
 	rows     map[key]wire.Row
 	revision wire.Revision
 	late     []wire.TransactRequest
+	// era is the number of restores.
+	era era.Era
 }
 
 // New returns an empty table without faults.
