Keep one holder of the lease when the table is restored

A restored table loses renewals that it had acknowledged and assigns their revisions again.

With WithEra, each era above 0 has a row of its own, so a write that was made for an earlier era never replaces it, and its epochs start above era x 2^32. The holder writes its lease again; any other process waits for a term and the order timeout from when it learned of the era. Without the option, as in entry, rows, epochs and behaviour are unchanged.

--- a/shared/lease/belief.go
+++ b/shared/lease/belief.go
@@ -47,19 +47,22 @@
 // names another process or epoch, or if renewals made all attempts fail.
 func (k *Keeper) Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error) {
 	k.mu.Lock()
-	held, epoch, revision := k.held, k.epoch, k.revision
+	held, epoch, revision, heldEra := k.held, k.epoch, k.revision, k.heldEra
 	k.mu.Unlock()
-	if !held {
+	if !held || heldEra != k.tableEra() {
 		return wire.TransactAnswer{}, ErrNotHeld
 	}
 	callerChecks := r.Checks
 	for range maxTransactAttempts {
-		r.Checks = append([]wire.Check{k.revisionCheck(revision)}, callerChecks...)
+		r.Checks = append([]wire.Check{{Table: TableName, Key: rowKey(k.name, heldEra), Revision: revision}}, callerChecks...)
 		answer, err := k.table.Transact(ctx, r)
 		if err != nil || answer.Committed {
 			return answer, err
 		}
-		current, err := findRow(k.name, answer.Conflicts)
+		if heldEra != k.tableEra() {
+			return answer, ErrNotHeld
+		}
+		current, err := findRow(k.name, rowKey(k.name, heldEra), answer.Conflicts)
 		if err != nil {
 			return answer, err
 		}
@@ -81,6 +84,7 @@
 	k.held = true
 	k.epoch = a.row.Epoch
 	k.revision = revision
+	k.heldEra = k.era
 	k.renewed = a.sent
 }
 
--- a/shared/lease/keeper.go
+++ b/shared/lease/keeper.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 )
 
@@ -46,6 +47,13 @@
 	}
 }
 
+// WithEra sets a function that returns the era of the table's last answer. Without it, the table is never restored from a backup.
+func WithEra(era func() era.Era) Option {
+	return func(k *Keeper) {
+		k.tableEra = era
+	}
+}
+
 // attempt is a write that acquires or renews the lease. Its answer may be lost.
 type attempt struct {
 	row  wire.LeaseRow
@@ -67,9 +75,14 @@
 	clock        Clock
 	term         time.Duration
 	orderTimeout time.Duration
+	// tableEra returns the era of the table's last answer.
+	tableEra func() era.Era
 
 	// The following fields are used only by the goroutine that calls Step.
 
+	// era is the table's era to which the fields below belong, and eraSince this process's monotonic time when it learned of the era.
+	era      era.Era
+	eraSince time.Duration
 	// current is the row that the next write replaces, or nil if it has to be read first.
 	current *storedRow
 	// foreign is another process's row as last read, or nil if the row was absent or this process's own.
@@ -88,6 +101,8 @@
 	epoch    wire.Epoch
 	revision wire.Revision
 	renewed  clockReading
+	// heldEra is the era of the row that was written last.
+	heldEra era.Era
 }
 
 // NewKeeper returns a Keeper that does not hold the lease yet.
@@ -99,6 +114,7 @@
 		clock:        clock,
 		term:         DefaultTerm,
 		orderTimeout: DefaultOrderTimeout,
+		tableEra:     func() era.Era { return 0 },
 	}
 	for _, opt := range opts {
 		opt(k)
@@ -109,12 +125,16 @@
 // Step renews the lease or tries to acquire it, if that is due. If the write fails, the keeper's belief is unchanged until a
 // later Step finds out whether the write took effect.
 func (k *Keeper) Step(ctx context.Context) error {
+	k.ObserveEra()
 	if !k.due() {
 		return nil
 	}
 	if err := k.readRow(ctx); err != nil {
 		return err
 	}
+	if k.ObserveEra() {
+		return ErrRestored
+	}
 	if !k.available() {
 		k.current = nil
 		return nil
@@ -129,7 +149,7 @@
 	if k.released {
 		return false
 	}
-	if !k.held || k.attempt != nil {
+	if !k.held || k.attempt != nil || k.heldEra != k.era {
 		return true
 	}
 	return readClocks(k.clock).elapsedSince(k.renewed) >= k.term/renewalsPerTerm
@@ -140,11 +160,11 @@
 	if k.current != nil {
 		return nil
 	}
-	rows, err := k.table.Read(ctx, TableName, string(k.name))
+	rows, err := k.table.Read(ctx, TableName, k.key())
 	if err != nil {
 		return err
 	}
-	s, err := findRow(k.name, rows)
+	s, err := findRow(k.name, k.key(), rows)
 	if err != nil {
 		return err
 	}
@@ -189,8 +209,8 @@
 		TermMillis:  int(k.term.Milliseconds()),
 		Recent:      k.recent(),
 	}
-	if !k.Belief().Holds {
-		row.Epoch++
+	if !k.Belief().Holds || k.heldEra != k.era {
+		row.Epoch = max(row.Epoch, wire.Epoch(era.FirstEpoch(k.era))) + 1
 		k.acquired = k.clock.Monotonic()
 	}
 	k.recentHolders = row.Recent
@@ -204,6 +224,10 @@
 	k.current = nil
 	k.attempt = &attempt{row: row, sent: readClocks(k.clock)}
 	answer, err := k.write(ctx, row, revision)
+	if k.ObserveEra() {
+		// The row may have been written to the table of the new era, in which it is no lease.
+		return ErrRestored
+	}
 	if err != nil {
 		return err
 	}
@@ -213,7 +237,7 @@
 		k.attempt = nil
 		return nil
 	}
-	s, err := findRow(k.name, answer.Conflicts)
+	s, err := findRow(k.name, k.key(), answer.Conflicts)
 	if err != nil {
 		return err
 	}
@@ -230,19 +254,20 @@
 	}
 	return k.table.Transact(ctx, wire.TransactRequest{
 		Checks: []wire.Check{k.revisionCheck(revision)},
-		Writes: []wire.Write{{Table: TableName, Key: string(k.name), Value: value}},
+		Writes: []wire.Write{{Table: TableName, Key: k.key(), Value: value}},
 	})
 }
 
 func (k *Keeper) revisionCheck(revision wire.Revision) wire.Check {
-	return wire.Check{Table: TableName, Key: string(k.name), Revision: revision}
+	return wire.Check{Table: TableName, Key: k.key(), Revision: revision}
 }
 
 // Release releases the lease for good, so that another process need not wait for it to expire. The caller must have no order
 // in flight. Later calls of Step do nothing.
 func (k *Keeper) Release(ctx context.Context) error {
+	k.ObserveEra()
 	k.mu.Lock()
-	held, epoch, revision := k.held, k.epoch, k.revision
+	held, epoch, revision := k.held && k.heldEra == k.era, k.epoch, k.revision
 	k.held, k.released = false, true
 	k.mu.Unlock()
 	if !held {
--- a/shared/lease/table.go
+++ b/shared/lease/table.go
@@ -67,10 +67,10 @@
 	return nil
 }
 
-// findRow finds a lease's row among rows and decodes it. If there is none, the result has revision zero.
-func findRow(name wire.LeaseName, rows []wire.Row) (storedRow, error) {
+// findRow finds a lease's row among rows by its key and decodes it. If there is none, the result has revision zero.
+func findRow(name wire.LeaseName, key string, rows []wire.Row) (storedRow, error) {
 	for _, r := range rows {
-		if r.Table != TableName || r.Key != string(name) || r.Revision == 0 {
+		if r.Table != TableName || r.Key != key || r.Revision == 0 {
 			continue
 		}
 		s := storedRow{revision: r.Revision}
--- a/shared/lease/turns.go
+++ b/shared/lease/turns.go
@@ -15,7 +15,7 @@
 // after an expiry: its orders and those of that holder would alternate within a term.
 func (k *Keeper) available() bool {
 	if k.foreign == nil {
-		return true
+		return k.current.revision != 0 || k.maySucceedEarlierEra()
 	}
 	row := k.foreign.row
 	if row.Incarnation == "" && !heldBeforeLastHolder(row, k.self.Instance) {
--- a/shared/tabletest/restore.go
+++ b/shared/tabletest/restore.go
@@ -51,49 +51,58 @@
 }
 
 // Read returns the rows with the given keys.
-func (c *Client) Read(ctx context.Context, table string, keys ...string) ([]wire.Row, error) {
-	rows, err := c.table.Read(ctx, table, keys...)
-	return c.answered(rows), err
+func (c *Client) Read(_ context.Context, table string, keys ...string) ([]wire.Row, error) {
+	rows, e, err := c.table.read(table, keys)
+	if err != nil {
+		return nil, err
+	}
+	return c.answered(rows, e)
 }
 
 // Range returns the rows of a table whose keys are at least from and less than to.
-func (c *Client) Range(ctx context.Context, table, from, to string) ([]wire.Row, error) {
-	rows, err := c.table.Range(ctx, table, from, to)
-	return c.answered(rows), err
+func (c *Client) Range(_ context.Context, table, from, to string) ([]wire.Row, error) {
+	rows, e, err := c.table.rangeOf(table, from, to)
+	if err != nil {
+		return nil, err
+	}
+	return c.answered(rows, e)
 }
 
-// answered notes the era of an answer and joins its rows' revisions with it.
-func (c *Client) answered(rows []wire.Row) []wire.Row {
-	c.known = c.table.era
+// answered notes the era of an answer and joins its rows' revisions with it. An answer of an earlier era is an error.
+func (c *Client) answered(rows []wire.Row, e era.Era) ([]wire.Row, error) {
+	if e < c.known {
+		return nil, ErrEra
+	}
+	c.known = e
 	joined := make([]wire.Row, 0, len(rows))
 	for _, r := range rows {
-		r.Revision = wire.Revision(era.Join(c.known, int(r.Revision)))
+		r.Revision = wire.Revision(era.Join(e, int(r.Revision)))
 		joined = append(joined, r)
 	}
-	return joined
+	return joined, nil
 }
 
-// Transact applies a transaction as the table does. Checks of an earlier era fail without a call.
+// Transact applies a transaction as the table does. Checks of an earlier era fail without a transaction.
 func (c *Client) Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error) {
-	raw := r
+	raw, checked, before := r, false, c.known
 	raw.Checks = nil
-	checked := false
 	for _, check := range r.Checks {
-		if check.Revision != 0 && era.Of(int(check.Revision)) != c.known {
+		if check.Revision != 0 && era.Of(int(check.Revision)) != before {
 			return c.present(ctx, r.Checks)
 		}
 		checked = checked || check.Revision != 0
 		check.Revision = wire.Revision(era.Number(int(check.Revision)))
 		raw.Checks = append(raw.Checks, check)
 	}
-	before := c.known
-	answer, err := c.table.Transact(ctx, raw)
+	answer, e, err := c.table.transact(raw)
 	if err != nil {
 		return wire.TransactAnswer{}, err
 	}
-	answer.Conflicts = c.answered(answer.Conflicts)
-	answer.Revision = wire.Revision(era.Join(c.known, int(answer.Revision)))
-	if answer.Committed && checked && before != c.known {
+	if answer.Conflicts, err = c.answered(answer.Conflicts, e); err != nil {
+		return wire.TransactAnswer{}, err
+	}
+	answer.Revision = wire.Revision(era.Join(e, int(answer.Revision)))
+	if answer.Committed && checked && before != e {
 		return wire.TransactAnswer{}, ErrEra
 	}
 	return answer, nil
@@ -111,7 +120,7 @@
 		if len(rows) > 0 {
 			row = rows[0]
 		}
-		if row.Revision != check.Revision || era.Of(int(check.Revision)) != c.known {
+		if row.Revision != check.Revision || era.Of(int(check.Revision)) < c.known && check.Revision != 0 {
 			answer.Conflicts = append(answer.Conflicts, row)
 		}
 	}
--- a/shared/tabletest/table.go
+++ b/shared/tabletest/table.go
@@ -62,7 +62,14 @@
 
 // Read returns the rows with the given keys; keys without a row are left out.
 func (t *Table) Read(_ context.Context, table string, keys ...string) ([]wire.Row, error) {
+	rows, _, err := t.read(table, keys)
+	return rows, err
+}
+
+// read returns rows and the era in which they were read.
+func (t *Table) read(table string, keys []string) ([]wire.Row, era.Era, error) {
 	t.Delay()
+	e := t.era
 	var rows []wire.Row
 	for _, k := range keys {
 		if r, ok := t.rows[key{table, k}]; ok {
@@ -70,7 +77,7 @@
 		}
 	}
 	t.Delay()
-	return rows, t.queryFault()
+	return rows, e, t.queryFault()
 }
 
 // Scan returns up to limit rows, in key order, whose keys start with prefix and are greater than after.
@@ -102,8 +109,15 @@
 
 // Transact applies a transaction as Commit does, subject to Fault.
 func (t *Table) Transact(_ context.Context, r wire.TransactRequest) (wire.TransactAnswer, error) {
+	answer, _, err := t.transact(r)
+	return answer, err
+}
+
+// transact applies a transaction and returns the era in which it took effect.
+func (t *Table) transact(r wire.TransactRequest) (wire.TransactAnswer, era.Era, error) {
 	t.Delay()
 	fault := t.Fault()
+	e := t.era
 	var answer wire.TransactAnswer
 	switch fault {
 	case None, Lost:
@@ -113,9 +127,9 @@
 	}
 	t.Delay()
 	if fault != None {
-		return wire.TransactAnswer{}, ErrFault
+		return wire.TransactAnswer{}, e, ErrFault
 	}
-	return answer, nil
+	return answer, e, nil
 }
 
 // ApplyLate applies the oldest transaction with the fault Late that is still outstanding, if there is one.
