--- a/router/duties.go
+++ b/router/duties.go
@@ -84,7 +84,8 @@
 func newDuties(deps dutyDeps) *duties {
 	settings := deps.settings.Load()
 	bounds := settings.Bounds
-	keeper := lease.NewKeeper(dutyLease, deps.self, deps.store, bootClock{}, lease.WithTerm(bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout))
+	keeper := lease.NewKeeper(dutyLease, deps.self, deps.store, bootClock{}, lease.WithTerm(bounds.LeaseTerm), lease.WithOrderTimeout(orderTimeout),
+		lease.WithEra(deps.store.Era))
 	d := &duties{
 		dutyDeps:    deps,
 		keeper:      keeper,
@@ -122,6 +123,7 @@
 // step acquires or renews the lease if that is due. If the lease is held, step reports usage and sends the orders that are due.
 func (d *duties) step(ctx context.Context) {
 	now := time.Now()
+	d.keeper.ObserveEra()
 	if d.holdsLease || d.knowsPeers(now) && d.standby.Due(d.peerLoads.Rank(), d.peerLoads.HolderReported(now, holderTimeout), now) {
 		if err := d.keeper.Step(ctx); err != nil {
 			d.standby.MarkFailed(now)
--- a/shared/era/era.go
+++ b/shared/era/era.go
@@ -27,6 +27,11 @@
 	if version == 0 {
 		return 0
 	}
+	return Position(e, version)
+}
+
+// Position returns the joined version of a whole store, which may be 0 within its era.
+func Position(e Era, version int) int {
 	return int(e)<<versionBits | version
 }
 
