Report each window once with its counts when the store is restored

A restored store loses frozen windows that were reported, and counts.

Frozen windows go to peers before their first report. No window is frozen in the first 5 s of an era. Counts that a reported window includes are removed rather than found late.

--- a/serving/metering/counter.go
+++ b/serving/metering/counter.go
@@ -35,6 +35,8 @@
 	dirty map[Window]bool
 	// revisions are the revisions of the windows' rows in the store, 0 for a window without a row.
 	revisions map[Window]wire.Revision
+	// stored are the counts of the windows that the store has.
+	stored map[Window]storedCounts
 	// handedOff are the windows whose counts were handed off to peers, with the number of withdrawals that are still to be sent.
 	handedOff map[Window]int
 	// finished is set once the incarnation counts no more requests.
@@ -50,6 +52,7 @@
 		changed:   map[Window]time.Time{},
 		dirty:     map[Window]bool{},
 		revisions: map[Window]wire.Revision{},
+		stored:    map[Window]storedCounts{},
 		handedOff: map[Window]int{},
 	}
 }
@@ -146,6 +149,7 @@
 			delete(c.windows, w)
 			delete(c.changed, w)
 			delete(c.revisions, w)
+			delete(c.stored, w)
 		}
 	}
 }
--- /dev/null
+++ b/serving/metering/frozen.go
@@ -0,0 +1,145 @@
+package metering
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cowslipshunt.example/shared/era"
+	"cowslipshunt.example/wire"
+)
+
+const (
+	// frozenLifetime is how long a copy of a frozen window is kept: longer than its report may take and than a backup is old.
+	frozenLifetime = time.Minute
+	// maxFrozen bounds the copies that are kept.
+	maxFrozen = 64
+)
+
+// frozenWindow is the row of a frozen window and its revision.
+type frozenWindow struct {
+	row      windowRow
+	revision wire.Revision
+	// shared is set once copies were sent to the peers.
+	shared bool
+}
+
+// Frozen is a copy of a frozen window for peers, which write it again if the store is restored to a state without it.
+type Frozen struct {
+	_      struct{} `cbor:",toarray"`
+	Window Window
+	Counts Counts
+	Epoch  wire.Epoch
+	// Sources are the rows that were added up, with the agreed time of their last write in Unix milliseconds, rounded up.
+	Sources map[string]int64
+	Ended   []string
+	// Reported is set if the platform has accepted the report.
+	Reported bool
+}
+
+// copyOf returns the copy of a window's row.
+func copyOf(row *windowRow) Frozen {
+	f := Frozen{Window: row.Window, Counts: maps.Clone(row.Counts), Epoch: row.Epoch, Sources: make(map[string]int64, len(row.Sources)),
+		Ended: slices.Clone(row.Ended), Reported: row.Reported}
+	for source, at := range row.Sources {
+		f.Sources[source] = at.Add(time.Millisecond - 1).UnixMilli()
+	}
+	return f
+}
+
+// row returns the window's row.
+func (f *Frozen) row() windowRow {
+	w := windowRow{Window: f.Window, Counts: f.Counts, Epoch: f.Epoch, Sources: make(map[string]time.Time, len(f.Sources)), Ended: f.Ended, Reported: f.Reported}
+	for source, at := range f.Sources {
+		w.Sources[source] = time.UnixMilli(at).UTC()
+	}
+	return w
+}
+
+// FrozenCopies are the copies of frozen windows that an instance keeps. They are safe for concurrent use.
+type FrozenCopies struct {
+	mu   sync.Mutex
+	held map[Window]heldFrozen
+}
+
+// heldFrozen is a copy, the agreed time at which it was received, and the highest era in which the store is known to have the window.
+type heldFrozen struct {
+	Frozen
+	received time.Time
+	stored   era.Era
+}
+
+// NewFrozenCopies returns an empty collection.
+func NewFrozenCopies() *FrozenCopies {
+	return &FrozenCopies{held: map[Window]heldFrozen{}}
+}
+
+// Keep keeps a copy of a window that the store has in an era. Of two copies of a window, one that was reported is kept, and otherwise the
+// one with the higher epoch.
+func (c *FrozenCopies) Keep(f Frozen, stored era.Era, now time.Time) {
+	if f.Window < 0 || f.Counts.valid() != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for w, x := range c.held {
+		if now.Sub(x.received) > frozenLifetime {
+			delete(c.held, w)
+		}
+	}
+	previous, known := c.held[f.Window]
+	if known && (previous.Reported && !f.Reported || previous.Reported == f.Reported && previous.Epoch > f.Epoch) || !known && len(c.held) >= maxFrozen {
+		return
+	}
+	c.held[f.Window] = heldFrozen{Frozen: f, received: now, stored: stored}
+}
+
+// Restore writes the windows that the store may have lost by the restore to an era, unless it has them. It returns those that it wrote.
+// The writes are not fenced: the counts of a frozen window never change, whoever writes them.
+func (c *FrozenCopies) Restore(ctx context.Context, t Table, e era.Era, now time.Time) ([]Window, error) {
+	var written []Window
+	for _, f := range c.lost(e, now) {
+		value, err := json.Marshal(f.row())
+		if err != nil {
+			return written, err
+		}
+		key := windowKey(f.Window)
+		answer, err := t.Transact(ctx, wire.TransactRequest{
+			Checks: []wire.Check{{Table: WindowTable, Key: key}},
+			Writes: []wire.Write{{Table: WindowTable, Key: key, Value: value}},
+		})
+		if err != nil {
+			return written, err
+		}
+		if answer.Committed {
+			written = append(written, f.Window)
+		}
+		c.markStored(f.Window, era.Of(int(answer.Revision)))
+	}
+	return written, nil
+}
+
+// lost returns the copies of windows that were stored in an earlier era than e, by window.
+func (c *FrozenCopies) lost(e era.Era, now time.Time) []Frozen {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Frozen
+	for _, w := range slices.Sorted(maps.Keys(c.held)) {
+		if x := c.held[w]; x.stored < e && now.Sub(x.received) <= frozenLifetime {
+			list = append(list, x.Frozen)
+		}
+	}
+	return list
+}
+
+func (c *FrozenCopies) markStored(w Window, e era.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x, known := c.held[w]; known {
+		x.stored = max(x.stored, e)
+		c.held[w] = x
+	}
+}
--- a/serving/metering/handoff.go
+++ b/serving/metering/handoff.go
@@ -7,6 +7,7 @@
 	"maps"
 	"time"
 
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 )
 
@@ -100,8 +101,9 @@
 	row := wire.Check{Table: CountTable, Key: h.key(), Revision: h.Revision}
 	notFrozen := wire.Check{Table: WindowTable, Key: windowKey(h.Window)}
 	checks := []wire.Check{row, notFrozen}
+	restored := false
 	for range handoffWriteAttempts {
-		value, err := json.Marshal(countRow{Counts: counts, Written: time.UnixMilli(h.Made).UTC(), Ended: h.Final})
+		value, err := json.Marshal(countRow{Counts: counts, Written: h.written(restored), Ended: h.Final})
 		if err != nil {
 			return false, err
 		}
@@ -122,7 +124,12 @@
 				continue
 			}
 			if conflict.Revision == 0 {
-				return false, nil
+				if era.Of(int(h.Revision)) >= era.Of(int(answer.Revision)) {
+					return false, nil
+				}
+				// The store was restored to a state without the row.
+				checks[0].Revision, restored = 0, true
+				continue
 			}
 			_, _, stored, err := decodeCounts(conflict)
 			if err != nil {
@@ -137,6 +144,15 @@
 	return false, fmt.Errorf("write handed-off usage counts %s: the row still conflicts after %d attempts", h.key(), handoffWriteAttempts)
 }
 
+// written returns the time that the write of a hand-off states. Counts that the store has lost may be in a frozen window, so theirs is not
+// later than the write by the owner was.
+func (h *Handoff) written(restored bool) time.Time {
+	if restored {
+		return time.UnixMilli(h.Changed).UTC()
+	}
+	return time.UnixMilli(h.Made).UTC()
+}
+
 // handoffWriteAttempts is how often the write of a hand-off is attempted: a conflict with each of the two rows that it checks, and one
 // with a write at the same time.
 const handoffWriteAttempts = 4
--- a/serving/metering/handoffs.go
+++ b/serving/metering/handoffs.go
@@ -15,6 +15,8 @@
 
 	mu   sync.Mutex
 	held map[string]*heldHandoff
+	// withdrawn are hand-offs whose counts are in the store, for the case that it loses them.
+	withdrawn map[string]*heldHandoff
 }
 
 // heldHandoff is a hand-off and the agreed time at which it was received.
@@ -27,7 +29,7 @@
 
 // NewHandoffs returns an empty collection for an incarnation of an instance.
 func NewHandoffs(self wire.IncarnationId) *Handoffs {
-	return &Handoffs{self: self, held: map[string]*heldHandoff{}}
+	return &Handoffs{self: self, held: map[string]*heldHandoff{}, withdrawn: map[string]*heldHandoff{}}
 }
 
 // Keep stores a hand-off in place of an older one of the same counts, or removes the one that it withdraws. It does nothing if a
@@ -43,6 +45,7 @@
 		return
 	}
 	if len(x.Counts) == 0 {
+		h.noteWithdrawn(key, now)
 		delete(h.held, key)
 		return
 	}
--- a/serving/metering/load.go
+++ b/serving/metering/load.go
@@ -4,17 +4,22 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"cowslipshunt.example/wire"
 )
 
 // load reads the frozen windows from the store.
 func (r *Reporter) load(ctx context.Context) error {
+	if _, err := r.restores.Copies.Restore(ctx, r.table, r.era, r.counter.now()); err != nil {
+		return err
+	}
 	rows, err := r.table.Range(ctx, WindowTable, "", "")
 	if err != nil {
 		return err
 	}
 	r.unreported, r.kept, r.next, r.lastWriters, r.occupied = nil, nil, 0, nil, map[Window]bool{}
+	r.reported = map[Window]map[string]time.Time{}
 	for _, row := range rows {
 		w, err := r.decodeWindow(row)
 		if err != nil {
@@ -28,6 +33,7 @@
 		r.lastWriters = w.writers()
 		if w.Reported {
 			r.kept = append(r.kept, w.Window)
+			r.reported[w.Window] = w.Sources
 			continue
 		}
 		r.unreported = append(r.unreported, frozenWindow{row: w, revision: row.Revision})
--- a/serving/metering/model_test.go
+++ b/serving/metering/model_test.go
@@ -62,6 +62,9 @@
 	writer      *metering.Writer
 	// nextWrite is when the next call of writer.Step is due.
 	nextWrite time.Time
+	// client is the instance's client of a table that may be restored, or nil; copies are its copies of frozen windows.
+	client *tabletest.Client
+	copies *metering.FrozenCopies
 	// cutOff makes all of the instance's calls to the store fail.
 	cutOff bool
 	model  *usageModel
@@ -72,6 +75,9 @@
 	if i.cutOff {
 		return nil, tabletest.ErrFault
 	}
+	if i.client != nil {
+		return i.client.Range(ctx, table, from, to)
+	}
 	return i.model.table.Range(ctx, table, from, to)
 }
 
@@ -80,6 +86,9 @@
 	if i.cutOff {
 		return nil, tabletest.ErrFault
 	}
+	if i.client != nil {
+		return i.client.Read(ctx, table, keys...)
+	}
 	return i.model.table.Read(ctx, table, keys...)
 }
 
@@ -88,6 +97,9 @@
 	if i.cutOff {
 		return wire.TransactAnswer{}, tabletest.ErrFault
 	}
+	if i.client != nil {
+		return i.client.Transact(ctx, r)
+	}
 	return i.model.table.Transact(ctx, r)
 }
 
@@ -116,6 +128,8 @@
 	faultless bool
 	// storeDown makes the store reject every call.
 	storeDown bool
+	// restorable is set if the table may be restored from a backup.
+	restorable bool
 	// bounds are those of the reporters.
 	bounds metering.Bounds
 	// writeInterval is the interval of the calls of Writer.Step; between them, counts are copied to the peers.
@@ -159,6 +173,10 @@
 	m.started++
 	i := &instance{name: wire.InstanceName(fmt.Sprint("machine", n)), incarnation: wire.IncarnationId(fmt.Sprint(m.started)), model: m}
 	i.counter = metering.NewCounter(windowLength, m.clock.Now)
+	if m.restorable {
+		m.startRestorable(i)
+		return i
+	}
 	self := lease.Identity{Instance: i.name, Incarnation: i.incarnation}
 	i.keeper = lease.NewKeeper("duties", self, i, m.clock)
 	i.reporter = metering.NewReporter(i, i.keeper, m.platform, i.counter, m.bounds,
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -7,6 +7,7 @@
 	"maps"
 	"time"
 
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 )
 
@@ -59,12 +60,6 @@
 	return writers
 }
 
-// frozenWindow is the row of a frozen window and its revision.
-type frozenWindow struct {
-	row      windowRow
-	revision wire.Revision
-}
-
 // Reporter freezes windows, which fixes their counts, and reports them to the platform while the lease is held. It is not safe for
 // concurrent use.
 type Reporter struct {
@@ -79,6 +74,11 @@
 	// malformed is called with each row, at each read of it, that cannot be used.
 	malformed func(table, key string, err error)
 
+	restores Restores
+	// era is the era of the store, and eraSince the agreed time at which it became known.
+	era      era.Era
+	eraSince time.Time
+
 	// epoch is the epoch of the lease under which the fields below were loaded from the store; loaded is false if they must be
 	// loaded again.
 	epoch  wire.Epoch
@@ -90,6 +90,8 @@
 	// unreported are the frozen windows that are not marked as reported, oldest first; kept are the reported ones still stored.
 	unreported []frozenWindow
 	kept       []Window
+	// reported are the sources of the reported windows that are still stored.
+	reported map[Window]map[string]time.Time
 	// lastWriters are the writers of the last frozen window, nil if not known.
 	lastWriters map[string]time.Time
 }
@@ -122,7 +124,7 @@
 
 // NewReporter returns a Reporter that continues from the windows in the store at the first Step that holds the lease.
 func NewReporter(t Table, f Fence, p Platform, c *Counter, b Bounds, opts ...Option) *Reporter {
-	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}, malformed: func(string, string, error) {}}
+	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}, malformed: func(string, string, error) {}, restores: noRestores()}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -132,6 +134,7 @@
 // Step freezes the windows that are complete or ended at least FreezeDelay ago, and reports the frozen ones that are not yet reported.
 // It does nothing unless the lease is held.
 func (r *Reporter) Step(ctx context.Context) error {
+	r.ObserveEra()
 	epoch, held := r.fence.Guard(reportTimeout)
 	if !held {
 		r.loaded = false
@@ -154,6 +157,9 @@
 // ended at least FreezeDelay ago.
 func (r *Reporter) freezeSettled(ctx context.Context) error {
 	now := r.counter.now()
+	if !r.isSettled(now) {
+		return nil
+	}
 	last := r.counter.At(now.Add(-minSettle)) - 1
 	if r.next == 0 {
 		if err := r.findFirst(ctx); err != nil {
@@ -189,7 +195,10 @@
 func (r *Reporter) freeze(ctx context.Context, s *windowSum) error {
 	f := frozenWindow{row: s.row}
 	f.row.Epoch = r.epoch
-	var remove []wire.Write
+	remove := make([]wire.Write, 0, len(s.repeated)+len(s.late))
+	for _, key := range s.repeated {
+		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
+	}
 	for key, late := range s.late {
 		r.late(late.window, late.counts)
 		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
@@ -222,11 +231,15 @@
 // report reports the frozen windows in order and stops at the first error.
 func (r *Reporter) report(ctx context.Context) error {
 	for len(r.unreported) > 0 {
-		f := r.unreported[0]
+		f := &r.unreported[0]
+		if !f.shared {
+			r.share(f)
+			f.shared = true
+		}
 		if err := r.send(ctx, f.row); err != nil {
 			return fmt.Errorf("report usage window %d: %w", f.row.Window, err)
 		}
-		if err := r.markReported(ctx, f); err != nil {
+		if err := r.markReported(ctx, *f); err != nil {
 			r.loaded = false
 			return err
 		}
@@ -261,6 +274,7 @@
 	kept := append(r.kept, f.row.Window)
 	if len(kept) > keptWindows {
 		remove = append(remove, wire.Write{Table: WindowTable, Key: windowKey(kept[0]), Delete: true})
+		delete(r.reported, kept[0])
 		kept = kept[1:]
 	}
 	answer, err := r.put(ctx, f.row, f.revision, remove)
@@ -270,7 +284,10 @@
 	if !answer.Committed {
 		return fmt.Errorf("mark usage window %d as reported: its row was changed by another instance", f.row.Window)
 	}
+	f.revision = answer.Revision
+	r.share(&f)
 	r.kept = kept
+	r.reported[f.row.Window] = f.row.Sources
 	r.unreported = r.unreported[1:]
 	return nil
 }
--- /dev/null
+++ b/serving/metering/restored.go
@@ -0,0 +1,150 @@
+package metering
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cowslipshunt.example/shared/era"
+)
+
+// restoreSettle is how long after a new era is known no window is frozen: until then each instance has learned of the era, written its
+// counts again, and written the frozen windows of which it has copies. It leaves time for a report that is due 10 s after its window.
+const restoreSettle = 5 * time.Second
+
+// Restores are what a Reporter needs if the store may be restored from a backup.
+type Restores struct {
+	// Era returns the era of the store's last answer.
+	Era func() era.Era
+	// Copies are the copies of frozen windows that this instance keeps.
+	Copies *FrozenCopies
+	// Share sends a copy to the peers.
+	Share func(f Frozen)
+}
+
+// WithRestores makes a Reporter keep its windows fixed although the store is restored.
+func WithRestores(x Restores) Option {
+	return func(r *Reporter) {
+		r.restores = x
+	}
+}
+
+// noRestores are those of a store that is never restored.
+func noRestores() Restores {
+	return Restores{Era: func() era.Era { return 0 }, Copies: NewFrozenCopies(), Share: func(Frozen) {}}
+}
+
+// ObserveEra notes the era of the store. It is to be called also while the lease is not held, by the goroutine that calls Step.
+func (r *Reporter) ObserveEra() {
+	if e := r.restores.Era(); e != r.era {
+		r.era, r.eraSince, r.loaded = e, r.counter.now(), false
+	}
+}
+
+// isSettled reports whether all instances have had time to write again what the store lost by its last restore.
+func (r *Reporter) isSettled(now time.Time) bool {
+	return r.era == 0 || now.Sub(r.eraSince) >= restoreSettle
+}
+
+// share keeps a copy of a frozen window, and sends it to the peers.
+func (r *Reporter) share(f *frozenWindow) {
+	x := copyOf(&f.row)
+	r.restores.Copies.Keep(x, era.Of(int(f.revision)), r.counter.now())
+	r.restores.Share(x)
+}
+
+// storedCounts are counts that the store has, and the agreed time of their write.
+type storedCounts struct {
+	counts  Counts
+	written time.Time
+}
+
+// noteStored records the write of counts at an agreed time.
+func (c *Counter) noteStored(written map[Window]Counts, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for w, counts := range written {
+		if before, known := c.stored[w]; !known || !maps.Equal(before.counts, counts) {
+			c.stored[w] = storedCounts{counts: counts, written: at}
+		}
+	}
+}
+
+// writeTime returns the time that a write of counts states. Counts that are written again unchanged keep theirs, as their window may have
+// been frozen with them.
+func (c *Counter) writeTime(w Window, counts Counts, now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, known := c.stored[w]; known && maps.Equal(s.counts, counts) && !c.finished {
+		return s.written
+	}
+	return now
+}
+
+// markLost makes the counts that were written in an earlier era than e be written again.
+func (c *Counter) markLost(e era.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for w := range c.stored {
+		if c.revisions[w] != 0 && era.Of(int(c.revisions[w])) < e {
+			c.dirty[w] = true
+		}
+	}
+}
+
+// WriterOption configures a Writer.
+type WriterOption func(*Writer)
+
+// WithEra makes a Writer write again what the store lost by a restore. The function tableEra returns the era of the store's last answer,
+// and mayRestore whether its answers have one.
+func WithEra(tableEra func() era.Era, mayRestore func() bool, copies *FrozenCopies) WriterOption {
+	return func(w *Writer) {
+		w.tableEra, w.mayRestore, w.copies = tableEra, mayRestore, copies
+	}
+}
+
+// observeEra makes everything be written again that the store may have lost, and reports whether there is a new era.
+func (w *Writer) observeEra(now time.Time) bool {
+	e := w.tableEra()
+	if e == w.era {
+		return false
+	}
+	w.era = e
+	w.counter.markLost(e)
+	w.handoffs.restored(now)
+	return true
+}
+
+// restore writes the frozen windows again that the store may have lost.
+func (w *Writer) restore(ctx context.Context, now time.Time) error {
+	if w.era == 0 {
+		return nil
+	}
+	_, err := w.copies.Restore(ctx, w.table, w.era, now)
+	return err
+}
+
+// restored makes the hand-offs that were withdrawn lately count as received now, so that those are written again whose owners do not do
+// so themselves.
+func (h *Handoffs) restored(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, x := range h.withdrawn {
+		if _, known := h.held[key]; !known && now.Sub(x.received) <= handoffLifetime {
+			h.held[key] = &heldHandoff{Handoff: x.Handoff, received: now}
+		}
+	}
+	h.withdrawn = map[string]*heldHandoff{}
+}
+
+// noteWithdrawn keeps a hand-off that was withdrawn, as the store may lose the counts. The caller must hold h.mu.
+func (h *Handoffs) noteWithdrawn(key string, now time.Time) {
+	for k, x := range h.withdrawn {
+		if now.Sub(x.received) > handoffLifetime {
+			delete(h.withdrawn, k)
+		}
+	}
+	if x, known := h.held[key]; known {
+		h.withdrawn[key] = &heldHandoff{Handoff: x.Handoff, received: now}
+	}
+}
--- /dev/null
+++ b/serving/metering/restored_test.go
@@ -0,0 +1,120 @@
+package metering_test
+
+import (
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/shared/lease"
+	"cowslipshunt.example/shared/tabletest"
+	"pgregory.net/rapid"
+)
+
+// startRestorable completes an instance whose table may be restored.
+func (m *usageModel) startRestorable(i *instance) {
+	i.client, i.copies = tabletest.NewClient(m.table), metering.NewFrozenCopies()
+	i.keeper = lease.NewKeeper("duties", lease.Identity{Instance: i.name, Incarnation: i.incarnation}, i, m.clock, lease.WithEra(i.client.Era))
+	i.reporter = metering.NewReporter(i, i.keeper, m.platform, i.counter, m.bounds,
+		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }),
+		metering.WithRestores(metering.Restores{Era: i.client.Era, Copies: i.copies, Share: func(f metering.Frozen) { m.share(i, f) }}))
+	i.handoffs = metering.NewHandoffs(i.incarnation)
+	i.writer = metering.NewWriter(i, i.counter, i.handoffs, i, i.name, i.incarnation,
+		metering.WithEra(i.client.Era, func() bool { return true }, i.copies))
+}
+
+// share delivers a copy of a frozen window to the other instances.
+func (m *usageModel) share(from *instance, f metering.Frozen) {
+	for _, i := range m.instances {
+		if i != from && (m.losesDatagram == nil || !m.losesDatagram()) {
+			i.copies.Keep(f, from.client.Era(), m.clock.now)
+		}
+	}
+}
+
+// newRestorableModel returns a faultless model of a large deployment whose table may be restored.
+func newRestorableModel(t *rapid.T) *usageModel {
+	m := newLargeModel(t)
+	m.restorable = true
+	m.instances = nil
+	for range 4 {
+		m.instances = append(m.instances, m.start(len(m.instances)))
+	}
+	return m
+}
+
+// backupAge draws how old the backup is from which the table is restored.
+func backupAge(t *rapid.T) time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{1, 5, 10}).Draw(t, "backup age")) * time.Second
+}
+
+// TestRestoredStoreLosesNoCounts guards against counts that are not reported, are reported as late or are reported twice because the store
+// was restored to a state without them, or without the frozen windows that include them.
+func TestRestoredStoreLosesNoCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRestorableModel(t)
+		m.serve(2*windowLength + time.Duration(rapid.IntRange(0, 20).Draw(t, "before"))*metering.CopyInterval)
+		for range rapid.IntRange(1, 2).Draw(t, "restores") {
+			backup := m.table.Backup()
+			m.serve(backupAge(t))
+			if rapid.Bool().Draw(t, "outage") {
+				m.storeDown = true
+				m.serve(time.Duration(rapid.IntRange(1, 4).Draw(t, "outage")) * metering.CopyInterval)
+				m.storeDown = false
+			}
+			m.table.Restore(backup)
+			m.serve(time.Duration(rapid.IntRange(0, 20).Draw(t, "after")) * metering.CopyInterval)
+		}
+		m.run(4 * windowLength)
+		m.checkReportedInFull()
+	})
+}
+
+// TestRestoredStoreReportsEachWindowOnce guards against a window that is reported with other counts than before, and against a report under
+// an older epoch, as the holder or another instance is killed around a restore, answers are lost and some copies do not arrive.
+func TestRestoredStoreReportsEachWindowOnce(t *testing.T) {
+	reported := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRestorableModel(t)
+		m.losesDatagram = func() bool { return rapid.IntRange(0, 9).Draw(t, "datagram") == 0 }
+		m.serve(2*windowLength + time.Duration(rapid.IntRange(0, 20).Draw(t, "before"))*metering.CopyInterval)
+		for range rapid.IntRange(1, 2).Draw(t, "restores") {
+			backup := m.table.Backup()
+			m.faultless = rapid.Bool().Draw(t, "faultless")
+			m.serve(backupAge(t))
+			m.faultless = true
+			victim := rapid.IntRange(-1, len(m.instances)-1).Draw(t, "victim")
+			if victim >= 0 && rapid.Bool().Draw(t, "killed before the restore") {
+				m.kill(victim)
+				victim = -1
+			}
+			m.table.Restore(backup)
+			m.serve(time.Duration(rapid.IntRange(0, 6).Draw(t, "after")) * metering.CopyInterval)
+			if victim >= 0 {
+				m.stop(victim)
+			}
+		}
+		m.run(6 * windowLength)
+		m.checkAllReported()
+		reported += len(m.platform.reports)
+	})
+	if reported == 0 {
+		t.Error("no window was reported")
+	}
+}
+
+// TestRestoredStoreKeepsCountsOfStoppedInstance guards against the loss of counts that a stopped instance had written: only its peers have
+// copies of them.
+func TestRestoredStoreKeepsCountsOfStoppedInstance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newRestorableModel(t)
+		m.serve(2*windowLength + time.Duration(rapid.IntRange(0, 20).Draw(t, "before"))*metering.CopyInterval)
+		backup := m.table.Backup()
+		m.serve(time.Duration(rapid.IntRange(1, 20).Draw(t, "until the stop")) * metering.CopyInterval)
+		m.stop(rapid.IntRange(0, len(m.instances)-1).Draw(t, "stopped"))
+		m.serve(time.Duration(rapid.IntRange(0, 4).Draw(t, "until the restore")) * metering.CopyInterval)
+		m.table.Restore(backup)
+		m.serve(2 * windowLength)
+		m.run(4 * windowLength)
+		m.checkReportedInFull()
+	})
+}
--- a/serving/metering/rows.go
+++ b/serving/metering/rows.go
@@ -92,7 +92,8 @@
 		return nil
 	}
 	for range writeAttempts {
-		r, err := c.transaction(dirty, instance, incarnation)
+		now := c.now().UTC()
+		r, err := c.transaction(dirty, instance, incarnation, now)
 		if err != nil {
 			return err
 		}
@@ -102,6 +103,7 @@
 		}
 		if answer.Committed {
 			c.MarkWritten(dirty, answer.Revision)
+			c.noteStored(dirty, now)
 			return nil
 		}
 		if err := c.adoptRevisions(answer.Conflicts); err != nil {
@@ -114,10 +116,10 @@
 // writeAttempts is how often a write is attempted. After a conflict the next attempt uses the revisions that the store returned.
 const writeAttempts = 2
 
-func (c *Counter) transaction(dirty map[Window]Counts, instance wire.InstanceName, incarnation wire.IncarnationId) (wire.TransactRequest, error) {
+func (c *Counter) transaction(dirty map[Window]Counts, instance wire.InstanceName, incarnation wire.IncarnationId, now time.Time) (wire.TransactRequest, error) {
 	var r wire.TransactRequest
 	for w, counts := range dirty {
-		value, err := json.Marshal(countRow{Counts: counts, Written: c.now().UTC(), Ended: c.hasFinished()})
+		value, err := json.Marshal(countRow{Counts: counts, Written: c.writeTime(w, counts, now), Ended: c.hasFinished()})
 		if err != nil {
 			return r, err
 		}
--- a/serving/metering/sum.go
+++ b/serving/metering/sum.go
@@ -23,6 +23,8 @@
 	newest map[wire.InstanceName]sourceWrite
 	// late are the counts of earlier windows that were written after their window was frozen, by the key of their row.
 	late map[string]lateCounts
+	// repeated are the keys of counts of reported windows that include them: they were written again after a restore of the store.
+	repeated []string
 }
 
 // sourceWrite is a write of a source.
@@ -93,6 +95,8 @@
 			s.noteWrite(source, written.Written)
 		case window < w && r.hasFrozen(window, source, written.Written):
 			// The row is removed once its window has been reported.
+		case window < w && r.hasReported(window, source, written.Written):
+			s.repeated = append(s.repeated, row.Key)
 		case window < w:
 			s.late[row.Key] = lateCounts{window: window, counts: written.Counts}
 		default:
@@ -107,6 +111,12 @@
 	return s, nil
 }
 
+// hasReported reports whether a reported window includes the counts that a source wrote at a time.
+func (r *Reporter) hasReported(w Window, source string, written time.Time) bool {
+	included, ok := r.reported[w][source]
+	return ok && !written.After(included)
+}
+
 // hasFrozen reports whether a frozen window that is not marked as reported includes the counts that a source wrote at a time.
 func (r *Reporter) hasFrozen(w Window, source string, written time.Time) bool {
 	for _, f := range r.unreported {
--- a/serving/metering/writer.go
+++ b/serving/metering/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 )
 
@@ -24,16 +25,28 @@
 	incarnation wire.IncarnationId
 	// failing is set while the last write failed. Hand-offs are then written by Step only.
 	failing bool
+	// tableEra returns the era of the table's last answer; era is the one to which everything was written.
+	tableEra func() era.Era
+	era      era.Era
+	// mayRestore reports whether the table may be restored to an older state.
+	mayRestore func() bool
+	copies     *FrozenCopies
 }
 
 // NewWriter returns a Writer of the counts of one incarnation of an instance.
-func NewWriter(t Table, c *Counter, h *Handoffs, p Peers, instance wire.InstanceName, incarnation wire.IncarnationId) *Writer {
-	return &Writer{table: t, counter: c, handoffs: h, peers: p, instance: instance, incarnation: incarnation}
+func NewWriter(t Table, c *Counter, h *Handoffs, p Peers, instance wire.InstanceName, incarnation wire.IncarnationId, opts ...WriterOption) *Writer {
+	w := &Writer{table: t, counter: c, handoffs: h, peers: p, instance: instance, incarnation: incarnation,
+		tableEra: func() era.Era { return 0 }, mayRestore: func() bool { return false }}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
 }
 
 // Step writes the counts that have changed, and the hand-offs whose owners cannot write them. It returns the hand-offs that it
 // stored. After an error some counts are not written yet; a peer is asked to write them.
 func (w *Writer) Step(ctx context.Context, now time.Time) ([]Handoff, error) {
+	w.observeEra(now)
 	written, err := w.write(ctx, now)
 	w.failing = err != nil
 	list := w.withdraw(written)
@@ -51,7 +64,7 @@
 // write them, and returns those. It is called every CopyInterval between the calls of Step, and acts like Step if no reporter knows of the
 // incarnation's counts yet.
 func (w *Writer) Copy(ctx context.Context, now time.Time) ([]Handoff, error) {
-	if !w.failing && w.counter.isUnknown() {
+	if w.observeEra(now) || !w.failing && w.counter.isUnknown() {
 		return w.Step(ctx, now)
 	}
 	var written []Handoff
@@ -86,6 +99,10 @@
 // hand-offs that it keeps for others.
 func (w *Writer) Close(ctx context.Context, now time.Time) error {
 	w.counter.Finish()
+	if w.mayRestore() {
+		// The peers keep the withdrawn copies for the case that the store loses what is written now.
+		w.handOff(w.unwritten())
+	}
 	written, err := w.write(ctx, now)
 	list := w.withdraw(written)
 	if err != nil {
@@ -97,6 +114,9 @@
 
 // write stores the hand-offs before the instance's own counts, as Handoffs.Write requires.
 func (w *Writer) write(ctx context.Context, now time.Time) ([]Handoff, error) {
+	if err := w.restore(ctx, now); err != nil {
+		return nil, err
+	}
 	written, err := w.handoffs.Write(ctx, w.table, now)
 	if err != nil {
 		return written, err
