Write the base of the agreed time again after a restore

A restored store may lose the base, and the next instance that starts would propose another one, so that usage windows shift. Restore writes the base in use again; it never replaces the base in use.

--- a/serving/truetime/base.go
+++ b/serving/truetime/base.go
@@ -1,6 +1,7 @@
 package truetime
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -29,35 +30,79 @@
 // Agree sets the base from the store. If the store has none, it stores this machine's Guess, unless another instance is first; in
 // that case it sets the other instance's base.
 func (c *Clock) Agree(ctx context.Context, t Table) error {
-	rows, err := t.Read(ctx, TableName, baseKey)
-	if err != nil {
+	if found, err := c.Adopt(ctx, t); found || err != nil {
 		return err
 	}
-	if len(rows) > 0 {
-		return c.decodeBase(rows[0].Value)
-	}
 	guess, ok := c.Guess()
 	if !ok {
 		return fmt.Errorf("propose the base of the agreed time: the store's clock has not been observed yet")
 	}
-	value, err := json.Marshal(base{UnixMillis: guess.UnixMilli()})
+	value, answer, err := propose(ctx, t, guess)
 	if err != nil {
 		return err
 	}
+	if answer.Committed {
+		return c.decodeBase(value)
+	}
+	if len(answer.Conflicts) == 0 {
+		return fmt.Errorf("propose the base of the agreed time: the store rejected it but returned no other")
+	}
+	return c.decodeBase(answer.Conflicts[0].Value)
+}
+
+// Adopt sets the base from the store and reports whether it has one.
+func (c *Clock) Adopt(ctx context.Context, t Table) (bool, error) {
+	rows, err := t.Read(ctx, TableName, baseKey)
+	if err != nil || len(rows) == 0 {
+		return false, err
+	}
+	return true, c.decodeBase(rows[0].Value)
+}
+
+// propose stores a time as the base if there is none, and returns the value that it has written or tried to write.
+func propose(ctx context.Context, t Table, at time.Time) ([]byte, wire.TransactAnswer, error) {
+	value, err := json.Marshal(base{UnixMillis: at.UnixMilli()})
+	if err != nil {
+		return nil, wire.TransactAnswer{}, err
+	}
 	answer, err := t.Transact(ctx, wire.TransactRequest{
 		Checks: []wire.Check{{Table: TableName, Key: baseKey}},
 		Writes: []wire.Write{{Table: TableName, Key: baseKey, Value: value}},
 	})
-	if err != nil {
+	return value, answer, err
+}
+
+// OtherBaseError reports that a restored store has another base than the one in use.
+type OtherBaseError struct {
+	Own, Stored time.Time
+}
+
+// Error names both bases.
+func (e *OtherBaseError) Error() string {
+	return fmt.Sprintf("the store has the base %v of the agreed time, %v is in use", e.Stored, e.Own)
+}
+
+// Restore writes the base again if the store has lost it by a restore. The base in use stays as it is, so that the agreed time does not
+// jump: if the store has another one, the error is an *OtherBaseError.
+func (c *Clock) Restore(ctx context.Context, t Table) error {
+	c.mu.Lock()
+	own, set := c.base, c.baseSet
+	c.mu.Unlock()
+	if !set {
+		return nil
+	}
+	value, answer, err := propose(ctx, t, own)
+	if err != nil || answer.Committed || len(answer.Conflicts) == 0 || bytes.Equal(answer.Conflicts[0].Value, value) {
 		return err
 	}
-	if answer.Committed {
-		return c.decodeBase(value)
+	var b base
+	if err := json.Unmarshal(answer.Conflicts[0].Value, &b); err != nil {
+		return fmt.Errorf("decode the base of the agreed time: %w", err)
 	}
-	if len(answer.Conflicts) == 0 {
-		return fmt.Errorf("propose the base of the agreed time: the store rejected it but returned no other")
+	if stored := time.UnixMilli(b.UnixMillis); !stored.Equal(own) {
+		return &OtherBaseError{Own: own, Stored: stored}
 	}
-	return c.decodeBase(answer.Conflicts[0].Value)
+	return nil
 }
 
 // decodeBase sets the base from the stored value of the row.
