Follow a store that was restored from an older backup

TestConfigurationOfRestoredStore, TestReceiverFollowsRestoredStore and TestRestoredStoreDoesNotRevertEndpoints failed, each by its time-out.

Followers and updates now compare joined versions, and a new era makes all of them read their tables again. Endpoints of the restored state do not replace newer ones that are known; those that it lacks have the grace period of an outage. The member's row and the base of the agreed time are written again, frozen windows are sent to four peers in different failure domains (message key 9), and reports carry the era (key 10): a later one makes an instance ask the store, whose response alone is believed.

--- a/router/duties.go
+++ b/router/duties.go
@@ -59,7 +59,9 @@
 	loadReporter *peerload.Reporter
 	// peerLoads is the table of the newest reports of the peers.
 	peerLoads *peerload.Table
-	logger    *log.Logger
+	// peers get copies of frozen usage windows.
+	peers  *peers
+	logger *log.Logger
 }
 
 // duties are the tasks that only the lease holder performs: it reports usage, scales endpoints and changes engines' stages.
@@ -97,7 +99,8 @@
 	}
 	freezeDelay := bounds.UsageDue * freezeTenths / 10
 	reportBounds := metering.Bounds{FreezeDelay: freezeDelay, GoneTimeout: goneFactor * freezeDelay}
-	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts), metering.WithMalformed(d.logMalformedUsage()))
+	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts), metering.WithMalformed(d.logMalformedUsage()),
+		metering.WithRestores(metering.Restores{Era: deps.store.Era, Copies: deps.peers.restores.copies, Share: deps.peers.sendFrozen}))
 	return d
 }
 
@@ -124,6 +127,9 @@
 func (d *duties) step(ctx context.Context) {
 	now := time.Now()
 	d.keeper.ObserveEra()
+	if d.clock.Agreed() {
+		d.usageReporter.ObserveEra()
+	}
 	if d.holdsLease || d.knowsPeers(now) && d.standby.Due(d.peerLoads.Rank(), d.peerLoads.HolderReported(now, holderTimeout), now) {
 		if err := d.keeper.Step(ctx); err != nil {
 			d.standby.MarkFailed(now)
--- a/router/endpoint_follower.go
+++ b/router/endpoint_follower.go
@@ -15,9 +15,14 @@
 func newEndpointFollower(store *platform.Store, d *roster.Directory, liveInstances func() int, other replicas, logger *log.Logger) *follower {
 	f := newFollower(store, platform.ReplicaTable, maxUpdateChanges, liveInstances, other, logger)
 	rejected := newRejectedRows(logger, platform.ReplicaTable, "EndpointRejected")
+	restored := &restoredEntries{}
 	f.apply = func(rows []platform.Row, full bool) []replication.Change {
 		changes, unusable := decodeEndpoints(rows, d, rejected)
-		applyEndpoints(changes, d, logger)
+		if full {
+			applyEndpoints(restored.withoutOlder(changes, d), d, logger)
+		} else {
+			applyEndpoints(changes, d, logger)
+		}
 		for id := range unusable {
 			d.Overwritten(id, time.Now())
 		}
--- a/router/members.go
+++ b/router/members.go
@@ -15,8 +15,9 @@
 // leaveTimeout bounds the removal of the instance's row when the instance stops.
 const leaveTimeout = 500 * time.Millisecond
 
-// maintainMembership refreshes the instance's row and the list of its peers until ctx ends, and then removes the row.
-func maintainMembership(ctx context.Context, registration *membership.Registration, peers *peers, logger *log.Logger) {
+// maintainMembership refreshes the instance's row and the list of its peers until ctx ends, and then removes the row. It also does so when
+// told by renew, as the store may have lost the row.
+func maintainMembership(ctx context.Context, registration *membership.Registration, peers *peers, renew <-chan struct{}, logger *log.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	m := &members{registration: registration, peers: peers, logger: logger, rejected: newRejectedRows(logger, membership.TableName, "MemberRejected")}
@@ -29,6 +30,7 @@
 				logger.Warn().Err(err).Msg("MemberRowLeft")
 			}
 			return
+		case <-renew:
 		case <-timer.C:
 		}
 		var err error
--- a/router/peers.go
+++ b/router/peers.go
@@ -13,6 +13,7 @@
 	"cowslipshunt.example/serving/peerload"
 	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/replication"
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
@@ -32,8 +33,10 @@
 	maxReportsPerSecond = 400
 	// maxDatagramBytes is the largest datagram that is sent to many instances: one that is not fragmented.
 	maxDatagramBytes = 1400
-	// maxHandoffBytes is the largest datagram of a hand-off, which has a count for each workspace, and the largest that is received.
+	// maxHandoffBytes is the largest datagram of a hand-off, which has a count for each workspace.
 	maxHandoffBytes = 16 << 10
+	// maxFrozenBytes is the largest datagram of a frozen window, which has a time for each instance, and the largest that is received.
+	maxFrozenBytes = 48 << 10
 )
 
 // message is the content of one datagram: a load report with the applied versions and evidence, a hand-off of usage counts, or an update of a table.
@@ -46,6 +49,10 @@
 	Evidence *quarantine.Evidence `cbor:"5,keyasint,omitempty"`
 	// Leaving belongs to the report.
 	Leaving []peerload.Departure `cbor:"6,keyasint,omitempty"`
+	// Frozen is a copy of a frozen usage window.
+	Frozen *metering.Frozen `cbor:"9,keyasint,omitempty"`
+	// Era is the era of the store that the sender knows; it belongs to reports and copies of frozen windows.
+	Era era.Era `cbor:"10,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -57,6 +64,8 @@
 	// quarantine is shared with the peers.
 	quarantine *quarantine.Table
 	handoffs   *metering.Handoffs
+	// restores is what is shared about restores of the store.
+	restores *restores
 	// agreedNow returns the time that all instances agree on. The age of a hand-off is computed from it.
 	agreedNow func() time.Time
 	logger    *log.Logger
@@ -84,7 +93,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, agreedNow: agreedNow, logger: logger, stop: stop}
+	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, restores: newRestores(), agreedNow: agreedNow, logger: logger, stop: stop}
 	go p.receiveLoop(ctx)
 	go p.reportLoop(ctx)
 	return p, nil
@@ -162,7 +171,7 @@
 
 // receiveLoop receives datagrams until ctx ends. Datagrams that do not decode are counted and ignored.
 func (p *peers) receiveLoop(ctx context.Context) {
-	buffer := make([]byte, maxHandoffBytes)
+	buffer := make([]byte, maxFrozenBytes)
 	for ctx.Err() == nil {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -193,7 +202,13 @@
 	if m.Evidence != nil {
 		p.quarantine.Apply(m.Evidence)
 	}
+	if m.Frozen != nil {
+		p.restores.copies.Keep(*m.Frozen, m.Era, p.agreedNow())
+	}
 	f := p.tableFollowers()
+	if f != nil && m.Era > 0 {
+		f.peerKnowsEra(m.Era, p.restores)
+	}
 	if f != nil && m.Applied != nil {
 		f.peerApplied(*m.Applied)
 	}
@@ -245,7 +260,7 @@
 // broadcast sends a report to all peers. Evidence that does not fit into a datagram beside it is sent in one of its own; a report that does
 // not fit is shortened until it does. One that does not fit although it has neither sent parts nor loads left is logged and not sent.
 func (p *peers) broadcast(report peerload.Report, evidence *quarantine.Evidence, addresses []string) {
-	m := message{Report: &report, Leaving: report.Leaving, Evidence: evidence}
+	m := message{Report: &report, Leaving: report.Leaving, Evidence: evidence, Era: p.restores.era()}
 	if f := p.tableFollowers(); f != nil {
 		applied := f.applied()
 		m.Applied = &applied
@@ -273,27 +288,3 @@
 		report = report.Shortened()
 	}
 }
-
-// broadcastEvidence sends evidence to all peers in a datagram of its own.
-func (p *peers) broadcastEvidence(e *quarantine.Evidence, addresses []string) {
-	data, err := cbor.Marshal(message{Evidence: e})
-	if err != nil || len(data) > maxDatagramBytes {
-		p.logger.Error().Int("Bytes", len(data)).Err(err).Msg("EvidenceNotSent")
-		return
-	}
-	p.transmit(data, addresses)
-}
-
-// transmit sends one datagram to each address. Errors are logged or counted; the datagram is not sent again.
-func (p *peers) transmit(data []byte, addresses []string) {
-	for _, address := range addresses {
-		addr, err := netip.ParseAddrPort(address)
-		if err != nil {
-			p.logger.Warn().Str("Address", address).Err(err).Msg("PeerAddressRejected")
-			continue
-		}
-		if _, err := p.conn.WriteToUDPAddrPort(data, addr); err != nil {
-			metrics.GetOrCreateCounter("router_peer_reports_unsent_total").Inc()
-		}
-	}
-}
--- a/router/serve.go
+++ b/router/serve.go
@@ -93,7 +93,7 @@
 	}
 	n.settings.Store(s)
 	n.requestCtx, n.endRequests = context.WithCancelCause(context.Background())
-	n.store = platform.NewStore(s.StoreAddress, n.agreedClock.Observe)
+	n.store = platform.NewStore(s.StoreAddress, n.agreedClock.Observe, platform.WithMalformedEra(logMalformedEra(logger)))
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreedClock.Now)
 	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
 	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
@@ -121,6 +121,7 @@
 		return err
 	}
 	defer n.peers.close()
+	n.peers.restores.setStore(n.store)
 	workCtx, stopWork := context.WithCancel(process.ForceContext(ctx))
 	var finalWrites sync.WaitGroup
 	defer finalWrites.Wait()
@@ -145,18 +146,26 @@
 	replicas := n.peers.replicas(self, min(s.Bounds.DrainTime, s.Bounds.ConfigurationApplyTime))
 	f := newFollowers(n.store, n.relay, n.directory, n.liveInstances, replicas, n.logger)
 	n.peers.setFollowers(f)
+	renew := make(chan struct{}, 1)
+	n.store.ObserveEra(n.onRestore(f, func() {
+		select {
+		case renew <- struct{}{}:
+		default:
+		}
+	}))
 	go f.configuration.run(ctx)
 	go f.endpoints.run(ctx)
 	d := newDuties(dutyDeps{
 		settings: &n.settings, self: n.self, store: n.store, clock: n.agreedClock, counter: n.counter, relay: n.relay, directory: n.directory,
-		loadReporter: n.loadReporter, peerLoads: n.peerLoads, logger: n.logger,
+		loadReporter: n.loadReporter, peerLoads: n.peerLoads, peers: n.peers, logger: n.logger,
 	})
 	registration := membership.NewRegistration(n.store, s.Instance, s.Domain, s.PeerAddress, n.agreedClock.Now)
 	finalWrites.Go(func() { d.run(ctx) })
-	finalWrites.Go(func() { maintainMembership(ctx, registration, n.peers, n.logger) })
+	finalWrites.Go(func() { maintainMembership(ctx, registration, n.peers, renew, n.logger) })
 	usage := &usageWriter{
 		store: n.store, clock: n.agreedClock, counter: n.counter, liveInstances: n.liveInstances, logger: n.logger,
-		writer: metering.NewWriter(n.store, n.counter, n.handoffs, n.peers, n.self.Instance, n.self.Incarnation),
+		writer: metering.NewWriter(n.store, n.counter, n.handoffs, n.peers, n.self.Instance, n.self.Incarnation,
+			metering.WithEra(n.store.Era, n.store.GivesEra, n.peers.restores.copies)),
 	}
 	finalWrites.Go(func() { usage.run(ctx) })
 }
--- a/router/usage.go
+++ b/router/usage.go
@@ -2,18 +2,23 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/truetime"
+	"cowslipshunt.example/shared/era"
 	"github.com/phuslu/log"
 )
 
 // countRetention is how long after the end of a window its counts stay in memory. Counts that are not written stay longer.
 const countRetention = 30 * time.Second
 
+// baseSettle is how long a missing base of the agreed time is left to the instances that know it.
+const baseSettle = 5 * time.Second
+
 // usageWriter writes the usage counts of this incarnation to the store.
 type usageWriter struct {
 	store   *platform.Store
@@ -23,6 +28,10 @@
 	// liveInstances counts the live instances, this one included.
 	liveInstances func() int
 	logger        *log.Logger
+
+	// era is the era of the store in which the base of the agreed time is known to be stored, and eraSince when a later one became known.
+	era      era.Era
+	eraSince time.Time
 }
 
 // run writes the counts periodically until ctx ends, and once more then. Counts are written only once the clock
@@ -51,12 +60,13 @@
 // write writes the counts, after obtaining the agreed time if that is still to be done.
 func (u *usageWriter) write(ctx context.Context) {
 	if !u.clock.Agreed() {
-		if err := u.clock.Agree(ctx, u.store); err != nil {
+		if agreed, err := u.agree(ctx); err != nil || !agreed {
 			u.logger.Warn().Err(err).Msg("TimeNotAgreed")
 			return
 		}
 		u.logger.Info().Time("Now", u.clock.Now()).Msg("TimeAgreed")
 	}
+	u.restoreBase(ctx)
 	writtenForPeers, err := u.writer.Step(ctx, u.clock.Now())
 	u.logWritten(writtenForPeers, err)
 	if err == nil {
@@ -64,9 +74,42 @@
 	}
 }
 
+// agree obtains the agreed time. Of a store that was restored, a missing base may have been lost: the instances that know it have
+// baseSettle to write it again before another one is proposed.
+func (u *usageWriter) agree(ctx context.Context) (bool, error) {
+	found, err := u.clock.Adopt(ctx, u.store)
+	if found || err != nil {
+		return found, err
+	}
+	if u.store.Era() > 0 {
+		if u.eraSince.IsZero() {
+			u.eraSince = time.Now()
+		}
+		if time.Since(u.eraSince) < baseSettle {
+			return false, nil
+		}
+	}
+	return true, u.clock.Agree(ctx, u.store)
+}
+
+// restoreBase writes the base of the agreed time again if the store was restored.
+func (u *usageWriter) restoreBase(ctx context.Context) {
+	e := u.store.Era()
+	if e == u.era {
+		return
+	}
+	err := u.clock.Restore(ctx, u.store)
+	var other *truetime.OtherBaseError
+	if err == nil || errors.As(err, &other) {
+		u.era = e
+	}
+	u.logger.Info().Int("Era", int(e)).Err(err).Msg("TimeBaseRestored")
+}
+
 // copyToPeers hands the counts that are not written off to peers.
 func (u *usageWriter) copyToPeers(ctx context.Context) {
 	if u.clock.Agreed() {
+		u.restoreBase(ctx)
 		u.logWritten(u.writer.Copy(ctx, u.clock.Now()))
 	}
 }
