--- a/router/restored_store_test.go
+++ b/router/restored_store_test.go
@@ -12,10 +12,13 @@
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
 	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
 )
 
 // TestConfigurationOfRestoredStoreIsApplied guards against an instance that ignores what is written after a restore, because the store
@@ -134,3 +137,38 @@
 		x.t.Fatal(err)
 	}
 }
+
+// TestConfigurationNeverGoesBackOverEras guards against an older configuration in force, whatever a restored store lists: rows of several
+// eras, old and new, in full reads and changes, and such that cannot be used.
+func TestConfigurationNeverGoesBackOverEras(t *testing.T) {
+	logger := newLogger(io.Discard, "error", "i")
+	rapid.Check(t, func(t *rapid.T) {
+		r := relay.New(roster.NewDirectory(), nil, nil, decisionLog{logger: logger}, clockwork.NewFakeClock(), "a", relay.BudgetBounds{})
+		f := newConfigurationFollower(nil, r, func() int { return 1 }, noReplicas(), logger)
+		highest, now, version := 0, era.Era(0), 0
+		t.Repeat(map[string]func(*rapid.T){
+			"restore": func(t *rapid.T) {
+				now++
+				version = rapid.IntRange(0, version).Draw(t, "backup")
+			},
+			"apply": func(t *rapid.T) {
+				version++
+				n := rapid.IntRange(1, 9).Draw(t, "configuration")
+				row := platform.Row{Key: platform.ConfigurationKey, Version: era.Join(now, version), Value: []byte(platformtest.Configuration(n, "k"))}
+				if row.Deleted = rapid.IntRange(0, 5).Draw(t, "deleted") == 0; !row.Deleted {
+					highest = max(highest, n)
+				}
+				f.apply([]platform.Row{row}, rapid.Bool().Draw(t, "full"))
+			},
+			"": func(t *rapid.T) {
+				got := 0
+				if table := r.Table(); table != nil {
+					got = int(table.Version)
+				}
+				if got != highest {
+					t.Fatalf("configuration %d is in force, want %d", got, highest)
+				}
+			},
+		})
+	})
+}
