Tell peers that counts were written again after a restore

Without it, three peers read and wrote the counts of each window of each instance. The test failed so: '0 hand-offs and 0 withdrawals, want 3'.

--- a/serving/metering/restored.go
+++ b/serving/metering/restored.go
@@ -81,13 +81,14 @@
 	return now
 }
 
-// markLost makes the counts that were written in an earlier era than e be written again.
+// markLost makes the counts that were written in an earlier era than e be written again. The peers, which have copies for the case that this
+// instance does not do so, are then told again that the counts are in the store.
 func (c *Counter) markLost(e era.Era) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for w := range c.stored {
 		if c.revisions[w] != 0 && era.Of(int(c.revisions[w])) < e {
-			c.dirty[w] = true
+			c.dirty[w], c.handedOff[w] = true, withdrawals
 		}
 	}
 }
--- a/serving/metering/restored_test.go
+++ b/serving/metering/restored_test.go
@@ -118,3 +118,50 @@
 		m.checkReportedInFull()
 	})
 }
+
+// withdrawalCounter counts the hand-offs and withdrawals that an instance sends.
+type withdrawalCounter struct{ handoffs, withdrawals int }
+
+// HandOff counts hand-offs and withdrawals.
+func (c *withdrawalCounter) HandOff(list []metering.Handoff) {
+	for _, x := range list {
+		if len(x.Counts) == 0 {
+			c.withdrawals++
+		} else {
+			c.handoffs++
+		}
+	}
+}
+
+// TestOwnerThatWritesAgainTellsItsPeers guards against reads and writes by three peers for each window of each instance after a restore,
+// which are more than the store takes in a large deployment.
+func TestOwnerThatWritesAgainTellsItsPeers(t *testing.T) {
+	table, now := tabletest.New(), time.Unix(1e9, 0)
+	client := tabletest.NewClient(table)
+	counter := metering.NewCounter(windowLength, func() time.Time { return now })
+	peers := &withdrawalCounter{}
+	w := metering.NewWriter(client, counter, metering.NewHandoffs("1"), peers, "i", "1",
+		metering.WithEra(client.Era, func() bool { return true }, metering.NewFrozenCopies()))
+	step := func() {
+		now = now.Add(metering.CopyInterval)
+		if _, err := w.Step(t.Context(), now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	empty := table.Backup()
+	counter.Began("w")
+	for range 4 {
+		step()
+	}
+	table.Restore(empty)
+	if _, err := client.Range(t.Context(), metering.CountTable, "", ""); err != nil {
+		t.Fatal(err)
+	}
+	*peers = withdrawalCounter{}
+	for range 4 {
+		step()
+	}
+	if rows := table.Rows(metering.CountTable, ""); len(rows) != 1 || peers.handoffs != 0 || peers.withdrawals != 3 {
+		t.Errorf("%d rows were written again; the peers got %d hand-offs and %d withdrawals, want 3", len(rows), peers.handoffs, peers.withdrawals)
+	}
+}
