--- /dev/null
+++ b/router/restored_usage_test.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/platform/platformtest"
+)
+
+// TestRestoredStoreReportsEveryRequestOnce guards against requests that are not billed, or billed twice, and against reports under a lower
+// epoch, as two running instances meet a store that was restored while they count and report.
+func TestRestoredStoreReportsEveryRequestOnce(t *testing.T) {
+	x := startInstance(t, respondDone)
+	y := startInstance(t, respondDone, func(s string) string {
+		s = platformtest.Joining(s, "front-a-2", x.store.Address)
+		at := strings.Index(s, "cloud.address=")
+		end := at + strings.Index(s[at:], "\n")
+		return s[:at] + "cloud.address=" + x.duties.Address + s[end:]
+	})
+	x.configure(1, "k")
+	x.listEndpoint("i-1", "ready")
+	served := 0
+	post := func(i *testInstance) bool {
+		status, _ := i.post(fmt.Sprint("r", served), "k")
+		if status == http.StatusOK {
+			served++
+		}
+		return status == http.StatusOK
+	}
+	for _, i := range []*testInstance{x, y} {
+		i.eventually("a request that is served", func() bool { return post(i) })
+	}
+	x.eventually("the first report", func() bool { return len(x.duties.Calls()) > 0 })
+	backup := x.store.Backup()
+	serveFor := func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); <-time.After(50 * time.Millisecond) {
+			if !post(x) || !post(y) {
+				t.Error("a request was not served")
+			}
+		}
+	}
+	serveFor(6 * time.Second)
+	// The store is restored when a window has ended and is not frozen yet, and all of its counts are written.
+	const window, unwritten = 5 * time.Second, 1500 * time.Millisecond
+	serveFor(2*window - time.Duration(time.Now().UnixNano())%window - unwritten)
+	<-time.After(unwritten + 300*time.Millisecond)
+	x.store.Fail(http.StatusServiceUnavailable)
+	<-time.After(300 * time.Millisecond)
+	x.store.Restore(backup)
+	x.store.Fail(0)
+	x.listEndpoint("i-1", "ready")
+	serveFor(2 * time.Second)
+	total := func() int {
+		sum := 0
+		for _, n := range reportedWindows(t, x.duties.Calls()) {
+			sum += n["w"]
+		}
+		return sum
+	}
+	deadline := time.Now().Add(25 * time.Second)
+	for total() < served && time.Now().Before(deadline) {
+		<-time.After(100 * time.Millisecond)
+	}
+	// A window that is reported again would come within this time.
+	<-time.After(2 * time.Second)
+	if got := total(); got != served {
+		t.Errorf("%d requests were reported of %d", got, served)
+	}
+	if log := x.log.String() + y.log.String(); strings.Contains(log, "UsageNotReported") {
+		t.Error("counts were found too late")
+	}
+}
+
+// reportedWindows returns the counts of each reported window. It fails the test if a window has two sets of them, or an epoch is lower than
+// an earlier one.
+func reportedWindows(t *testing.T, calls []platformtest.DutyCall) map[int]map[string]int {
+	t.Helper()
+	windows, last := map[int]map[string]int{}, 0
+	for _, c := range calls {
+		epoch, err := strconv.Atoi(c.FencingToken)
+		if err != nil || epoch < last {
+			t.Fatalf("a report under epoch %q came after one under %d", c.FencingToken, last)
+		}
+		last = epoch
+		if c.Usage == nil {
+			continue
+		}
+		if before, known := windows[c.Usage.WindowId]; known && !maps.Equal(before, c.Usage.Counts) {
+			t.Fatalf("window %d was reported with %v and then %v", c.Usage.WindowId, before, c.Usage.Counts)
+		}
+		windows[c.Usage.WindowId] = c.Usage.Counts
+	}
+	return windows
+}
