--- a/shared/lease/keeper.go
+++ b/shared/lease/keeper.go
@@ -132,9 +132,6 @@
 	if err := k.readRow(ctx); err != nil {
 		return err
 	}
-	if k.ObserveEra() {
-		return ErrRestored
-	}
 	if !k.available() {
 		k.current = nil
 		return nil
@@ -164,6 +161,10 @@
 	if err != nil {
 		return err
 	}
+	if k.ObserveEra() {
+		// The row of the earlier era may be there, also in a state that this process has written to the table of the new era.
+		return ErrRestored
+	}
 	s, err := findRow(k.name, k.key(), rows)
 	if err != nil {
 		return err
