--- a/router/peers.go
+++ b/router/peers.go
@@ -14,6 +14,7 @@
 	"cowslipshunt.example/serving/quarantine"
 	"cowslipshunt.example/serving/quota"
 	"cowslipshunt.example/serving/replication"
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/shared/lease"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
@@ -33,8 +34,10 @@
 	maxReportsPerSecond = 400
 	// maxDatagramBytes is the largest datagram that is sent to many instances: one that is not fragmented.
 	maxDatagramBytes = 1400
-	// maxHandoffBytes is the largest datagram of a hand-off, which has a count for each workspace, and the largest that is received.
+	// maxHandoffBytes is the largest datagram of a hand-off, which has a count for each workspace.
 	maxHandoffBytes = 16 << 10
+	// maxFrozenBytes is the largest datagram of a frozen window, which has a time for each instance, and the largest that is received.
+	maxFrozenBytes = 48 << 10
 )
 
 // message is the content of one datagram: a load report with the applied versions and evidence, a hand-off of usage counts, or an update of a table.
@@ -48,6 +51,10 @@
 	// Leaving belongs to the report.
 	Leaving []peerload.Departure `cbor:"6,keyasint,omitempty"`
 	Quota   *quota.Packet        `cbor:"7,keyasint,omitempty"`
+	// Frozen is a copy of a frozen usage window.
+	Frozen *metering.Frozen `cbor:"9,keyasint,omitempty"`
+	// Era is the era of the store that the sender knows; it belongs to reports and copies of frozen windows.
+	Era era.Era `cbor:"10,keyasint,omitempty"`
 	// Speeds belong to the report, too.
 	Speeds []peerload.Speed `cbor:"11,keyasint,omitempty"`
 }
@@ -61,6 +68,8 @@
 	// quarantine is shared with the peers.
 	quarantine *quarantine.Table
 	handoffs   *metering.Handoffs
+	// restores is what is shared about restores of the store.
+	restores *restores
 	// agreedNow returns the time that all instances agree on. The age of a hand-off is computed from it.
 	agreedNow func() time.Time
 	logger    *log.Logger
@@ -90,7 +99,7 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, agreedNow: agreedNow, logger: logger, stop: stop}
+	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, restores: newRestores(), agreedNow: agreedNow, logger: logger, stop: stop}
 	go p.receiveLoop(ctx)
 	go p.reportLoop(ctx)
 	return p, nil
@@ -145,7 +154,7 @@
 
 // receiveLoop receives datagrams until ctx ends. Datagrams that do not decode are counted and ignored.
 func (p *peers) receiveLoop(ctx context.Context) {
-	buffer := make([]byte, maxHandoffBytes)
+	buffer := make([]byte, maxFrozenBytes)
 	for ctx.Err() == nil {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -179,7 +188,13 @@
 	if q := p.quotas.Load(); q != nil && m.Quota != nil {
 		q.receive(m.Quota)
 	}
+	if m.Frozen != nil {
+		p.restores.copies.Keep(*m.Frozen, m.Era, p.agreedNow())
+	}
 	f := p.tableFollowers()
+	if f != nil && m.Era > 0 {
+		f.peerKnowsEra(m.Era, p.restores)
+	}
 	if f != nil && m.Applied != nil {
 		f.peerApplied(*m.Applied)
 	}
@@ -231,7 +246,7 @@
 // broadcast sends a report to all peers. Evidence that does not fit into a datagram beside it is sent in one of its own; a report that does
 // not fit is shortened until it does. One that does not fit although it has neither sent parts nor loads left is logged and not sent.
 func (p *peers) broadcast(report peerload.Report, evidence *quarantine.Evidence, addresses []string) {
-	m := message{Report: &report, Leaving: report.Leaving, Speeds: report.Speeds, Evidence: evidence}
+	m := message{Report: &report, Leaving: report.Leaving, Speeds: report.Speeds, Evidence: evidence, Era: p.restores.era()}
 	if f := p.tableFollowers(); f != nil {
 		applied := f.applied()
 		m.Applied = &applied
