Log token counts that have no meaning

A request with a negative or too large token count costs as much as one without counts. That is now observed once for each workspace.

go test -race -count=1 ./relay passed.

--- a/serving/quota/cost.go
+++ b/serving/quota/cost.go
@@ -16,6 +16,11 @@
 	Amount float64
 }
 
+// ValidCounts reports whether the token counts of a prompt can be charged: neither is negative or above maxCost.
+func ValidCounts(p *placement.Prompt) bool {
+	return p.Tokens >= 0 && p.MaxOutput >= 0 && p.Tokens <= maxCost && p.MaxOutput <= maxCost
+}
+
 // CostOf returns the cost of a request with a prompt. Without token counts, or with one that is negative or above maxCost, that is the
 // quota's PlainCost. The sum is capped at maxCost.
 func CostOf(q route.Quota, p *placement.Prompt) Cost {
@@ -23,7 +28,7 @@
 		return Cost{Unit: q.Unit, Amount: 1}
 	}
 	tokens, output := p.Tokens, p.MaxOutput
-	if tokens < 0 || output < 0 || tokens > maxCost || output > maxCost || tokens+output == 0 {
+	if !ValidCounts(p) || tokens+output == 0 {
 		return Cost{Unit: route.Tokens, Amount: q.PlainCost}
 	}
 	return Cost{Unit: route.Tokens, Amount: float64(min(tokens+output, maxCost))}
--- a/serving/relay/quota.go
+++ b/serving/relay/quota.go
@@ -31,6 +31,7 @@
 	if w == nil || j.relay.quota == nil {
 		return true
 	}
+	j.noteCounts(w)
 	grant, err := j.relay.quota.Take(ctx, w, quota.CostOf(w.Quota, &j.request.Prompt))
 	if err == nil {
 		j.grant = grant
@@ -46,6 +47,19 @@
 	return false
 }
 
+// StepCountsRejected is the step of a decision to charge a request as one without token counts, as it has counts that have no meaning.
+const StepCountsRejected = "TokenCountsRejected"
+
+// noteCounts observes, once for each workspace with a quota of tokens, that the token counts of a request have no meaning.
+func (j *job) noteCounts(w *route.Workspace) {
+	if w.Quota.Unit != route.Tokens || quota.ValidCounts(&j.request.Prompt) {
+		return
+	}
+	if _, known := j.relay.rejectedCounts.LoadOrStore(w.Name, true); !known {
+		j.observe(StepCountsRejected, nil, 0, "a token count is negative or too large; the request costs as much as one without counts", nil)
+	}
+}
+
 // grantHolds reports whether the request may be sent by its grant. A grant that is too old, because the instance was suspended, is given back,
 // and the quota is asked again; if that refuses, so is the request. The grant of a request that was sent or prefilled has been used.
 func (j *job) grantHolds(ctx context.Context) bool {
--- a/serving/relay/quota_test.go
+++ b/serving/relay/quota_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipshunt.example/serving/membership"
+	"cowslipshunt.example/serving/placement"
 	"cowslipshunt.example/serving/quota"
 	"cowslipshunt.example/serving/relay"
 	"cowslipshunt.example/serving/roster"
@@ -26,6 +27,7 @@
 	relay   *relay.Relay
 	manager *quota.Manager
 	clock   *clockwork.FakeClock
+	seen    *recorder
 }
 
 func newQuotaHarness(q route.Quota, behaviours ...behaviour) *quotaHarness {
@@ -44,6 +46,7 @@
 	h.manager.Tick()
 	d, r := roster.NewDirectory(), &recorder{}
 	bounds := relay.BudgetBounds{Window: 10 * time.Second, Ratio: budgetRatio, Slack: 100}
+	h.seen = r
 	h.relay = relay.New(d, h.sender, r, r, h.clock, "a", bounds, relay.WithQuota(h.manager))
 	for _, id := range []wire.EndpointId{"e1", "e2", "e3"} {
 		d.Put(roster.Entry{Key: roster.Key{ID: id, Born: 1}, Service: plainService, Domain: "a", Slots: 4})
@@ -110,3 +113,21 @@
 		}
 	}
 }
+
+// TestOddTokenCountsAreObservedOnce guards against token counts without meaning that are charged silently, or logged with each request.
+func TestOddTokenCountsAreObservedOnce(t *testing.T) {
+	h := newQuotaHarness(route.Quota{Unit: route.Tokens, Rate: 10, Burst: 100, PlainCost: 7}, succeeds)
+	for range 3 {
+		r := &relay.Request{ID: "r", Arrived: h.clock.Now(), Method: "POST", Path: "/", Host: "h", Key: "key", Prompt: placement.NewPrompt(-5, 10, nil)}
+		h.relay.Serve(context.Background(), r, &fakeCaller{})
+	}
+	observed := 0
+	for _, d := range h.seen.decisions {
+		if d.Step == relay.StepCountsRejected {
+			observed++
+		}
+	}
+	if spent := h.manager.Usage()[0].Spent; observed != 1 || spent != 21 {
+		t.Errorf("observed %d times, spent %v, want once and 21", observed, spent)
+	}
+}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -107,6 +107,8 @@
 	quarantine   *quarantine.Table
 	// quota is nil if workspaces have no limits.
 	quota Quota
+	// rejectedCounts holds the names of the workspaces whose malformed token counts were observed.
+	rejectedCounts sync.Map
 
 	// reportCached is called with the parts of prompts that an endpoint newly caches.
 	reportCached func(id wire.EndpointId, parts []roster.PartID)
