Decide about requests for contended services by the expected prefill time

A decode engine now prefills a long prompt itself if it is 100 ms sooner and the request meets its objective there; requests that can still meet their objective go first at an engine, within their rank; and a request that no engine can answer before its caller gives up is refused at once. A queue at the instance was tried before and ruled out (docs/design/admission.md). router explain shows these decisions; its JSON follows the product's naming.

--- a/router/cmd_explain.go
+++ b/router/cmd_explain.go
@@ -36,7 +36,7 @@
 		Use:   "explain",
 		Short: "say where a request would go now and why",
 		Long: "explain asks a running instance where a request would go now and why: its route, workspace and rank, the endpoints considered with their " +
-			"costs, the ages of what is known of them, and whether the request would run, wait or be refused. Nothing is sent to an endpoint and no state " +
+			"costs, the ages of what is known of them, and whether the request would run or be refused. Quotas are not consulted. Nothing is sent to an endpoint and no state " +
 			"changes. The instance must serve metrics.",
 		Args: command.InputArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -117,8 +117,6 @@
 		if x.RetryAfter > 0 {
 			line("retry after\t%.0f ms", x.RetryAfter)
 		}
-	case relay.OutcomeWait:
-		line("wait\t%.0f ms", x.Wait)
 	default:
 		line("%s\tnow", x.Outcome)
 	}
--- a/router/explain.go
+++ b/router/explain.go
@@ -24,50 +24,49 @@
 
 // explanation is the answer to a question, in milliseconds.
 type explanation struct {
-	Outcome       relay.Outcome      `json:"outcome"`
-	Verdict       string             `json:"verdict,omitempty"`
-	Reason        string             `json:"reason,omitempty"`
-	RetryAfter    float64            `json:"retry_after_ms,omitempty"`
-	Wait          float64            `json:"wait_ms"`
-	Version       int64              `json:"version"`
-	Route         string             `json:"route,omitempty"`
-	Workspace     wire.WorkspaceName `json:"workspace,omitempty"`
-	Rank          int                `json:"rank"`
-	Service       wire.ServiceName   `json:"service,omitempty"`
-	Contended     bool               `json:"contended"`
-	Timeout       float64            `json:"timeout_ms"`
-	Peers         int                `json:"peers"`
-	NewestReport  float64            `json:"newest_report_age_ms"`
-	OldestReport  float64            `json:"oldest_report_age_ms"`
-	Choices       []explainedChoice  `json:"choices"`
-	ChosenPrefill wire.EndpointId    `json:"chosen_prefill,omitempty"`
-	Chosen        wire.EndpointId    `json:"chosen,omitempty"`
+	Outcome       relay.Outcome      `json:"Outcome"`
+	Verdict       string             `json:"Verdict,omitempty"`
+	Reason        string             `json:"Reason,omitempty"`
+	RetryAfter    float64            `json:"RetryAfterMillis,omitempty"`
+	Version       int64              `json:"Version"`
+	Route         string             `json:"Route,omitempty"`
+	Workspace     wire.WorkspaceName `json:"Workspace,omitempty"`
+	Rank          int                `json:"Rank"`
+	Service       wire.ServiceName   `json:"Service,omitempty"`
+	Contended     bool               `json:"Contended"`
+	Timeout       float64            `json:"TimeoutMillis"`
+	Peers         int                `json:"Peers"`
+	NewestReport  float64            `json:"NewestReportAgeMillis"`
+	OldestReport  float64            `json:"OldestReportAgeMillis"`
+	Choices       []explainedChoice  `json:"Choices"`
+	ChosenPrefill wire.EndpointId    `json:"ChosenPrefill,omitempty"`
+	Chosen        wire.EndpointId    `json:"Chosen,omitempty"`
 }
 
 // explainedChoice is the choice of one endpoint.
 type explainedChoice struct {
-	Stage     string              `json:"stage"`
-	Chosen    wire.EndpointId     `json:"chosen,omitempty"`
-	Endpoints []explainedEndpoint `json:"endpoints"`
+	Stage     string              `json:"Stage"`
+	Chosen    wire.EndpointId     `json:"Chosen,omitempty"`
+	Endpoints []explainedEndpoint `json:"Endpoints"`
 	// Unavailable are the endpoints that get no requests now.
-	Unavailable []wire.EndpointId `json:"unavailable,omitempty"`
+	Unavailable []wire.EndpointId `json:"Unavailable,omitempty"`
 }
 
 // explainedEndpoint is what is known of one endpoint. The age of what the peers have there is that of their reports.
 type explainedEndpoint struct {
-	Endpoint  wire.EndpointId `json:"endpoint"`
-	Domain    wire.DomainName `json:"domain"`
-	Candidate bool            `json:"candidate"`
-	Rank      int             `json:"rank"`
-	Cost      float64         `json:"cost_ms"`
-	Prefill   float64         `json:"prefill_ms"`
-	Queued    int             `json:"queued_tokens"`
-	OwnQueued int             `json:"own_queued_tokens"`
-	InFlight  int             `json:"in_flight"`
-	Uncached  int             `json:"uncached_tokens"`
-	Speed     float64         `json:"speed"`
-	Learned   bool            `json:"speed_learned"`
-	SpeedAge  float64         `json:"speed_age_ms"`
+	Endpoint  wire.EndpointId `json:"Endpoint"`
+	Domain    wire.DomainName `json:"Domain"`
+	Candidate bool            `json:"Candidate"`
+	Rank      int             `json:"Rank"`
+	Cost      float64         `json:"CostMillis"`
+	Prefill   float64         `json:"PrefillMillis"`
+	Queued    int             `json:"QueuedTokens"`
+	OwnQueued int             `json:"OwnQueuedTokens"`
+	InFlight  int             `json:"InFlight"`
+	Uncached  int             `json:"UncachedTokens"`
+	Speed     float64         `json:"Speed"`
+	Learned   bool            `json:"SpeedLearned"`
+	SpeedAge  float64         `json:"SpeedAgeMillis"`
 }
 
 // serveExplain answers a question about a request. It changes nothing.
@@ -78,7 +77,7 @@
 		return
 	}
 	now := time.Now()
-	x := newExplanation(n.relay.Explain(q, nil), now)
+	x := newExplanation(n.relay.Explain(q), now)
 	var newest, oldest time.Duration
 	x.Peers, newest, oldest = n.peerLoads.ReportAges(now)
 	x.NewestReport, x.OldestReport = inMillis(newest), inMillis(oldest)
@@ -89,7 +88,7 @@
 // newExplanation returns an explanation with what is known of its endpoints now.
 func newExplanation(x *relay.Explanation, now time.Time) *explanation {
 	out := &explanation{
-		Outcome: x.Outcome, Reason: x.Reason, RetryAfter: inMillis(x.RetryAfter), Wait: inMillis(x.Wait), Version: int64(x.Version), Route: x.Route,
+		Outcome: x.Outcome, Reason: x.Reason, RetryAfter: inMillis(x.RetryAfter), Version: int64(x.Version), Route: x.Route,
 		Workspace: x.Workspace, Rank: x.Rank, Service: x.Service, Contended: x.Contended, Timeout: inMillis(x.Timeout), Choices: []explainedChoice{},
 	}
 	if x.Outcome == relay.OutcomeRefuse {
--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -44,6 +44,11 @@
 	return toDuration(prefillMillis(e, p, rate, now))
 }
 
+// QueueTime returns the estimated time until an engine has done what is queued there, without the prompt of the request itself.
+func QueueTime(e *roster.Endpoint, now time.Time) time.Duration {
+	return PrefillTime(e, &Prompt{}, now)
+}
+
 // prefillMillis returns the estimate of PrefillTime in milliseconds, for a prefill rate in tokens per millisecond.
 func prefillMillis(e *roster.Endpoint, p *Prompt, rate float64, now time.Time) float64 {
 	return engineMillis(e, p.UncachedTokens(e.CachedParts(p.IDs, now)), rate, now)
--- a/serving/relay/contended_test.go
+++ b/serving/relay/contended_test.go
@@ -72,3 +72,63 @@
 		}
 	}
 }
+
+// backlog adds prompts to the engines of a stage, as many tokens at each. The returned function removes them.
+func (h *harness) backlog(stage roster.Stage, tokens int) func() {
+	var ends []func()
+	for _, e := range h.directory.View().Service(engineService) {
+		if e.Entry().Stage == stage {
+			ends = append(ends, e.BeginPrefill(tokens))
+		}
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// patientTable is contendedTable with objectives and timeouts as callers have them.
+func patientTable() *route.Table {
+	t := contendedTable()
+	r := t.Find("h", "/stream/")
+	r.Goal, r.Timeout = 600*time.Millisecond, 8*time.Second
+	return t
+}
+
+// TestBacklogAtPrefillEngines guards against prompts that wait at the prefill engines while decode engines could prefill them in time, against
+// decode engines that take over what they cannot prefill in time, and against requests that are sent in vain. A backlog of 25 tokens takes a
+// prefill engine about half a millisecond.
+func TestBacklogAtPrefillEngines(t *testing.T) {
+	const halfSecond, twoSeconds = 25_000, 100_000
+	for _, c := range []struct {
+		name            string
+		prefill, decode int
+		contended       bool
+		separate        bool
+		refused         bool
+	}{
+		{name: "no backlog", contended: true, separate: true},
+		{name: "backlog at the prefill engines", prefill: 2 * halfSecond, contended: true},
+		{name: "backlog at both", prefill: 2 * halfSecond, decode: halfSecond, contended: true, separate: true},
+		{name: "backlog that nobody outlasts", prefill: twoSeconds, decode: twoSeconds, contended: true, refused: true},
+		{name: "not contended", prefill: twoSeconds, decode: twoSeconds, separate: true},
+	} {
+		h := newHarness(func(*relay.Attempt) behaviour { return succeeds })
+		configuration := patientTable()
+		for _, s := range configuration.Services {
+			s.Contended = s.Contended && c.contended
+		}
+		h.relay.SetTable(configuration)
+		removePrefill, removeDecode := h.backlog(roster.Prefill, c.prefill), h.backlog(roster.Decode, c.decode)
+		got := h.request(t, "/stream/")
+		if refused := got.refusal != nil; refused != c.refused || (h.sender.prefilled > 0) != c.separate {
+			t.Errorf("%s: refusal %+v, %d separate prefills, want refused %v and separate %v", c.name, got.refusal, h.sender.prefilled, c.refused, c.separate)
+		}
+		if c.refused && (got.refusal.Verdict != relay.NotRun || got.refusal.RetryAfter <= 0 || h.sender.sends > 0) {
+			t.Errorf("%s: refused with %+v after %d sends", c.name, got.refusal, h.sender.sends)
+		}
+		removePrefill()
+		removeDecode()
+	}
+}
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -16,10 +16,11 @@
 const maxPrefillAttempts = 2
 
 // chooseEngine returns the decode engine for the next send, or nil if none is available or the context has ended. A long prompt is
-// prefilled by a prefill engine first, unless a KV cache is or was already held or a stream is being resumed.
+// prefilled by a prefill engine first, unless a KV cache is or was already held or a stream is being resumed, or a decode engine is expected to
+// be much sooner. It also returns nil, and sets refusedFor, if the request would be sent in vain.
 func (j *job) chooseEngine(ctx context.Context) *roster.Endpoint {
 	if j.request.Prompt.Tokens <= maxDecodePrefillTokens || j.lastEvent != "" || j.source != nil || j.sourceLost || j.sendIsPaid {
-		return j.chooseDecode()
+		return j.admitted(j.chooseDecode())
 	}
 	for j.prefills = 0; j.prefills < maxPrefillAttempts; {
 		if j.withheld() {
@@ -27,7 +28,16 @@
 		}
 		need := j.need(roster.Prefill)
 		e := placement.ChoosePrefill(j.endpoints(need), &j.request.Prompt, need, j.relay.clock.Now())
-		if e == nil || !j.allowSend() {
+		if e == nil {
+			return j.admitted(j.chooseDecode())
+		}
+		if d := j.chooseOverflow(e); d != nil {
+			return d
+		}
+		if j.overloaded(e) {
+			return nil
+		}
+		if !j.allowSend() {
 			return j.chooseDecode()
 		}
 		if j.prefill(ctx, e) {
@@ -41,6 +51,14 @@
 	return j.chooseDecode()
 }
 
+// admitted returns the engine, or nil if the request would be sent to it in vain.
+func (j *job) admitted(e *roster.Endpoint) *roster.Endpoint {
+	if e != nil && j.overloaded(e) {
+		return nil
+	}
+	return e
+}
+
 // chooseDecode returns the decode engine that is expected to generate first when it prefills the prompt itself, or nil.
 func (j *job) chooseDecode() *roster.Endpoint {
 	need := j.need(roster.Decode)
--- a/serving/relay/explain.go
+++ b/serving/relay/explain.go
@@ -26,7 +26,6 @@
 // The outcomes.
 const (
 	OutcomeRun    Outcome = "run"
-	OutcomeWait   Outcome = "wait"
 	OutcomeRefuse Outcome = "refuse"
 )
 
@@ -37,15 +36,13 @@
 	Verdict    Verdict
 	Reason     string
 	RetryAfter time.Duration
-	// Wait is how long the request would wait before it is sent.
-	Wait      time.Duration
-	Version   route.Version
-	Route     string
-	Workspace wire.WorkspaceName
-	Rank      int
-	Service   wire.ServiceName
-	Contended bool
-	Timeout   time.Duration
+	Version    route.Version
+	Route      string
+	Workspace  wire.WorkspaceName
+	Rank       int
+	Service    wire.ServiceName
+	Contended  bool
+	Timeout    time.Duration
 	// Choices are the choices of an endpoint in their order: of the one that prefills the prompt first, if that is a separate one.
 	Choices []Choice
 }
@@ -61,13 +58,9 @@
 	Costs []placement.Cost
 }
 
-// Forecast says what admission control would do with a request now: run it (a wait of 0), let it wait, or refuse it for a reason that is not
-// empty. It must not change anything.
-type Forecast func(s *route.Service, q *Question, rank int) (wait time.Duration, reason string, retryAfter time.Duration)
-
-// Explain says where a request would go now and why, without sending it or changing anything. The forecast may be nil. Of several services of a route it
-// takes the one with the largest share.
-func (r *Relay) Explain(q *Question, forecast Forecast) *Explanation {
+// Explain says where a request would go now and why, without sending it or changing anything. It does not consult the workspace's quota. Of
+// several services of a route it takes the one with the largest share.
+func (r *Relay) Explain(q *Question) *Explanation {
 	x := &Explanation{Outcome: OutcomeRun}
 	t := r.table.Load()
 	if t == nil {
@@ -101,36 +94,25 @@
 	if end := r.stopAt.Load(); end != nil && r.clock.Now().Add(x.Timeout).After(*end) {
 		return x.refuse(NotRun, ErrStopping.Error(), refusalRetryAfter)
 	}
-	return r.explainChoice(x, found, s, q, forecast)
+	return r.explainChoice(x, found, s, q)
 }
 
 // explainChoice adds the choices of endpoints.
-func (r *Relay) explainChoice(x *Explanation, found *route.Route, s *route.Service, q *Question, forecast Forecast) *Explanation {
+func (r *Relay) explainChoice(x *Explanation, found *route.Route, s *route.Service, q *Question) *Explanation {
 	// The job is never run; it has what the choice of an endpoint needs.
-	j := &job{relay: r, request: &Request{Prompt: q.Prompt}, tieBreak: rand.Uint64(), route: found, service: s}
+	now := r.clock.Now()
+	j := &job{
+		relay: r, request: &Request{Prompt: q.Prompt, Arrived: now}, tieBreak: rand.Uint64(), route: found, service: s, rank: x.Rank,
+		deadline: now.Add(x.Timeout),
+	}
 	if r.quarantine.Holds(&q.Prompt) {
 		return x.refuse(NotRun, quarantineReason, refusalRetryAfter)
 	}
-	if forecast != nil {
-		wait, reason, retryAfter := forecast(s, q, x.Rank)
-		if reason != "" {
-			return x.refuse(NotRun, reason, retryAfter)
-		}
-		if wait > 0 {
-			x.Outcome, x.Wait = OutcomeWait, wait
-		}
-	}
-	var last *roster.Endpoint
+	last := j.explainEngines(x)
 	switch {
-	case s.Engine == nil:
-		last = j.explain(x, roster.NoStage, nil)
-	case q.Prompt.Tokens > maxDecodePrefillTokens:
-		source := j.explain(x, roster.Prefill, nil)
-		last = j.explain(x, roster.Decode, source)
-	default:
-		last = j.explain(x, roster.Decode, nil)
-	}
-	if last != nil {
+	case j.refusedFor != "":
+		return x.refuse(NotRun, j.refusedFor, j.returnAfter)
+	case last != nil:
 		return x
 	}
 	retryAfter := j.firstReturn()
@@ -140,6 +122,28 @@
 	return x.refuse(NotRun, "no endpoint is open", retryAfter)
 }
 
+// explainEngines adds the choices that lead to the endpoint that would answer, and returns that. It sets refusedFor if the request would be
+// sent in vain.
+func (j *job) explainEngines(x *Explanation) *roster.Endpoint {
+	if j.service.Engine == nil {
+		return j.explain(x, roster.NoStage, nil)
+	}
+	var source *roster.Endpoint
+	if j.request.Prompt.Tokens > maxDecodePrefillTokens {
+		source = j.explain(x, roster.Prefill, nil)
+		if source != nil && j.chooseOverflow(source) != nil {
+			source = nil
+		} else if source != nil && j.overloaded(source) {
+			return nil
+		}
+	}
+	last := j.explain(x, roster.Decode, source)
+	if source == nil && last != nil && j.overloaded(last) {
+		return nil
+	}
+	return last
+}
+
 // explain adds the choice of an endpoint of a stage, which fetches the KV cache of the source unless that is nil, and returns the endpoint.
 func (j *job) explain(x *Explanation, stage roster.Stage, source *roster.Endpoint) *roster.Endpoint {
 	need, now, p := j.need(stage), j.relay.clock.Now(), &j.request.Prompt
@@ -185,7 +189,7 @@
 
 // refuse makes the outcome a refusal.
 func (x *Explanation) refuse(v Verdict, reason string, retryAfter time.Duration) *Explanation {
-	x.Outcome, x.Verdict, x.Reason, x.RetryAfter, x.Wait = OutcomeRefuse, v, reason, retryAfter, 0
+	x.Outcome, x.Verdict, x.Reason, x.RetryAfter = OutcomeRefuse, v, reason, retryAfter
 	return x
 }
 
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -55,7 +55,9 @@
 	sourceLost bool
 	// suspected is set if the request broke off at an endpoint as others with the same parts did.
 	suspected bool
-	// returnAfter is when the client should return if the prompt is in quarantine.
+	// refusedFor is why the request is not sent, if it is not for lack of an endpoint.
+	refusedFor string
+	// returnAfter is when the client should return if the prompt is in quarantine or the engines have too much to do.
 	returnAfter time.Duration
 	// pause is how long the endpoint that failed last is avoided; it is reset once it is logged.
 	pause time.Duration
@@ -155,7 +157,6 @@
 		Request:   j.request,
 		Workspace: j.workspace,
 		Deadline:  j.deadline,
-		Rank:      min(j.rank, 9),
 		LastEvent: j.lastEvent,
 	}
 }
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -57,7 +57,7 @@
 func (j *job) newRun(ctx context.Context, e *roster.Endpoint, source *Source) *send {
 	j.chargeSend()
 	a := j.newAttempt()
-	a.Source = source
+	a.Source, a.Rank = source, j.engineRank(e, source != nil)
 	tokens := 0
 	if source == nil {
 		tokens = j.uncachedTokens(e)
@@ -69,7 +69,7 @@
 func (j *job) newPrefill(ctx context.Context, e *roster.Endpoint) *send {
 	j.prefills++
 	a := j.newAttempt()
-	a.PrefillOnly = true
+	a.PrefillOnly, a.Rank = true, j.engineRank(e, false)
 	return j.newSend(ctx, e, a, j.uncachedTokens(e))
 }
 
--- a/serving/route/route.go
+++ b/serving/route/route.go
@@ -60,6 +60,21 @@
 	Weight float64
 }
 
+// Bounds of the time without an event after which the callers of streams give up, by the platform's protocol.
+const (
+	minPatience    = 2 * time.Second
+	patienceGoals  = 4
+	patiencePauses = 8
+)
+
+// Patience returns how long a caller of the route waits for the next event of a stream, also for the first one; 0 is no limit of its own.
+func (r *Route) Patience() time.Duration {
+	if r.Kind != Stream {
+		return 0
+	}
+	return max(minPatience, patienceGoals*r.Goal, patiencePauses*r.MaxPause)
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
