Read the base of the agreed time once before it is proposed

The check for a restored store read the row, and Agree read it again. At the first start of a deployment, also of one whose store gives no eras, each instance made one more call to the store, which is billed. The test counted 3 calls before and counts 2 now.

--- a/router/usage.go
+++ b/router/usage.go
@@ -89,7 +89,7 @@
 			return false, nil
 		}
 	}
-	return true, u.clock.Agree(ctx, u.store)
+	return true, u.clock.Propose(ctx, u.store)
 }
 
 // restoreBase writes the base of the agreed time again if the store was restored.
--- a/serving/truetime/base.go
+++ b/serving/truetime/base.go
@@ -33,6 +33,12 @@
 	if found, err := c.Adopt(ctx, t); found || err != nil {
 		return err
 	}
+	return c.Propose(ctx, t)
+}
+
+// Propose stores this machine's Guess as the base and sets it, unless another instance is first; in that case it sets the other instance's
+// base. It is for callers that have found no base with Adopt: each read is billed.
+func (c *Clock) Propose(ctx context.Context, t Table) error {
 	guess, ok := c.Guess()
 	if !ok {
 		return fmt.Errorf("propose the base of the agreed time: the store's clock has not been observed yet")
