Send copies of frozen windows with the era in which they are stored

A copy carried the era that the sender knew at the time of sending. If the store was restored between the freeze and the copy, the peers took the lost window for a stored one and did not write it again, so it could be frozen and reported with other counts if the holder was killed. With the former era the test saw no window written again, now it sees one.

--- a/router/peers.go
+++ b/router/peers.go
@@ -53,7 +53,7 @@
 	Quota   *quota.Packet        `cbor:"7,keyasint,omitempty"`
 	// Frozen is a copy of a frozen usage window.
 	Frozen *metering.Frozen `cbor:"9,keyasint,omitempty"`
-	// Era is the era of the store that the sender knows; it belongs to reports and copies of frozen windows.
+	// Era is the era of the store that the sender of a report knows, or in which the store has a frozen window.
 	Era era.Era `cbor:"10,keyasint,omitempty"`
 	// Speeds belong to the report, too.
 	Speeds []peerload.Speed `cbor:"11,keyasint,omitempty"`
--- a/router/restores.go
+++ b/router/restores.go
@@ -72,13 +72,14 @@
 	f.endpoints.interrupt(reason)
 }
 
-// sendFrozen sends a copy of a frozen usage window to peers in different failure domains. It does nothing while the store gives no eras.
-func (p *peers) sendFrozen(f metering.Frozen) {
+// sendFrozen sends a copy of a usage window that was frozen in an era to peers in different failure domains. It does nothing while the store
+// gives no eras.
+func (p *peers) sendFrozen(f metering.Frozen, stored era.Era) {
 	store := p.restores.store.Load()
 	if store == nil || !store.GivesEra() {
 		return
 	}
-	data, err := cbor.Marshal(message{Frozen: &f, Era: store.Era()})
+	data, err := cbor.Marshal(message{Frozen: &f, Era: stored})
 	if err != nil || len(data) > maxFrozenBytes {
 		p.logger.Error().Int64("Window", int64(f.Window)).Int("Bytes", len(data)).Err(err).Msg("UsageWindowNotCopied")
 		return
--- /dev/null
+++ b/serving/metering/frozen_test.go
@@ -0,0 +1,69 @@
+package metering_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/shared/era"
+	"cowslipshunt.example/shared/tabletest"
+	"cowslipshunt.example/wire"
+)
+
+// restoringFence is a lease that is always held. The table is restored after the first transaction, and another call learns of it before
+// the transaction's caller goes on.
+type restoringFence struct {
+	client  *tabletest.Client
+	restore func()
+}
+
+// Transact commits, and restores the table once.
+func (f *restoringFence) Transact(ctx context.Context, r wire.TransactRequest) (wire.TransactAnswer, error) {
+	answer, err := f.client.Transact(ctx, r)
+	if restore := f.restore; restore != nil {
+		f.restore = nil
+		restore()
+	}
+	return answer, err
+}
+
+// Guard returns epoch 1.
+func (f *restoringFence) Guard(time.Duration) (wire.Epoch, bool) { return 1, true }
+
+// anyPlatform accepts all reports.
+type anyPlatform struct{}
+
+// ReportUsage accepts the report.
+func (anyPlatform) ReportUsage(context.Context, wire.Epoch, metering.Window, metering.Counts) error {
+	return nil
+}
+
+// TestCopyStatesTheEraOfItsWindow guards against peers that take a window for one of the restored store, so that nobody writes it again if
+// the holder of the lease is killed: the window is then frozen and reported again with other counts.
+func TestCopyStatesTheEraOfItsWindow(t *testing.T) {
+	table, now := tabletest.New(), time.Unix(1e9, 0)
+	client := tabletest.NewClient(table)
+	counter := metering.NewCounter(windowLength, func() time.Time { return now })
+	peer := metering.NewFrozenCopies()
+	backup := table.Backup()
+	fence := &restoringFence{client: client, restore: func() {
+		table.Restore(backup)
+		if _, err := client.Range(t.Context(), metering.WindowTable, "", ""); err != nil {
+			t.Error(err)
+		}
+	}}
+	r := metering.NewReporter(client, fence, anyPlatform{}, counter, metering.Bounds{FreezeDelay: time.Second},
+		metering.WithRestores(metering.Restores{Era: client.Era, Copies: metering.NewFrozenCopies(),
+			Share: func(f metering.Frozen, stored era.Era) { peer.Keep(f, stored, now) }}))
+	counter.Began("w")
+	if err := counter.Write(t.Context(), client, "i", "1"); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(2*windowLength - 1)
+	_ = r.Step(t.Context()) // the mark of the reported window fails
+	written, err := peer.Restore(t.Context(), client, client.Era(), now)
+	if err != nil || len(written) != 1 {
+		t.Errorf("the peer wrote windows %v again in era %d, %v", written, client.Era(), err)
+	}
+}
--- a/serving/metering/restored.go
+++ b/serving/metering/restored.go
@@ -18,8 +18,8 @@
 	Era func() era.Era
 	// Copies are the copies of frozen windows that this instance keeps.
 	Copies *FrozenCopies
-	// Share sends a copy to the peers.
-	Share func(f Frozen)
+	// Share sends a copy to the peers, with the era in which the store has the window. That may have passed meanwhile.
+	Share func(f Frozen, stored era.Era)
 }
 
 // WithRestores makes a Reporter keep its windows fixed although the store is restored.
@@ -31,7 +31,7 @@
 
 // noRestores are those of a store that is never restored.
 func noRestores() Restores {
-	return Restores{Era: func() era.Era { return 0 }, Copies: NewFrozenCopies(), Share: func(Frozen) {}}
+	return Restores{Era: func() era.Era { return 0 }, Copies: NewFrozenCopies(), Share: func(Frozen, era.Era) {}}
 }
 
 // ObserveEra notes the era of the store. It is to be called also while the lease is not held, by the goroutine that calls Step.
@@ -48,9 +48,9 @@
 
 // share keeps a copy of a frozen window, and sends it to the peers.
 func (r *Reporter) share(f *frozenWindow) {
-	x := copyOf(&f.row)
-	r.restores.Copies.Keep(x, era.Of(int(f.revision)), r.counter.now())
-	r.restores.Share(x)
+	x, stored := copyOf(&f.row), era.Of(int(f.revision))
+	r.restores.Copies.Keep(x, stored, r.counter.now())
+	r.restores.Share(x, stored)
 }
 
 // storedCounts are counts that the store has, and the agreed time of their write.
--- a/serving/metering/restored_test.go
+++ b/serving/metering/restored_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipshunt.example/serving/metering"
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/tabletest"
 	"pgregory.net/rapid"
@@ -16,17 +17,17 @@
 	i.keeper = lease.NewKeeper("duties", lease.Identity{Instance: i.name, Incarnation: i.incarnation}, i, m.clock, lease.WithEra(i.client.Era))
 	i.reporter = metering.NewReporter(i, i.keeper, m.platform, i.counter, m.bounds,
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }),
-		metering.WithRestores(metering.Restores{Era: i.client.Era, Copies: i.copies, Share: func(f metering.Frozen) { m.share(i, f) }}))
+		metering.WithRestores(metering.Restores{Era: i.client.Era, Copies: i.copies, Share: func(f metering.Frozen, stored era.Era) { m.share(i, f, stored) }}))
 	i.handoffs = metering.NewHandoffs(i.incarnation)
 	i.writer = metering.NewWriter(i, i.counter, i.handoffs, i, i.name, i.incarnation,
 		metering.WithEra(i.client.Era, func() bool { return true }, i.copies))
 }
 
 // share delivers a copy of a frozen window to the other instances.
-func (m *usageModel) share(from *instance, f metering.Frozen) {
+func (m *usageModel) share(from *instance, f metering.Frozen, stored era.Era) {
 	for _, i := range m.instances {
 		if i != from && (m.losesDatagram == nil || !m.losesDatagram()) {
-			i.copies.Keep(f, from.client.Era(), m.clock.now)
+			i.copies.Keep(f, stored, m.clock.now)
 		}
 	}
 }
