Reject copies of frozen windows of an era that cannot be

A datagram with an era below 0 made the lease holder write a window to a store without eras, and one above the highest era kept a copy from ever counting as lost.

--- a/serving/metering/frozen.go
+++ b/serving/metering/frozen.go
@@ -78,9 +78,9 @@
 }
 
 // Keep keeps a copy of a window that the store has in an era. Of two copies of a window, one that was reported is kept, and otherwise the
-// one with the higher epoch.
+// one with the higher epoch. A malformed copy is ignored.
 func (c *FrozenCopies) Keep(f Frozen, stored era.Era, now time.Time) {
-	if f.Window < 0 || f.Counts.valid() != nil {
+	if f.Window < 0 || f.Counts.valid() != nil || stored < 0 || stored > era.Max {
 		return
 	}
 	c.mu.Lock()
--- a/serving/metering/frozen_test.go
+++ b/serving/metering/frozen_test.go
@@ -67,3 +67,21 @@
 		t.Errorf("the peer wrote windows %v again in era %d, %v", written, client.Era(), err)
 	}
 }
+
+// TestCopyOfImpossibleEraIsRejected guards against a malformed datagram that writes a row to the store: a copy of an era below 0 counts as
+// lost in era 0, in which no store was restored. A copy of an era that cannot be would never count as lost.
+func TestCopyOfImpossibleEraIsRejected(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, stored := range []era.Era{-1, -1 << 62, era.Max + 1} {
+		table, copies := tabletest.New(), metering.NewFrozenCopies()
+		copies.Keep(metering.Frozen{Window: 1, Counts: metering.Counts{"w": 1}}, stored, now)
+		written, err := copies.Restore(t.Context(), table, 0, now)
+		if err != nil || len(written) != 0 {
+			t.Errorf("a copy of era %d wrote windows %v, %v", stored, written, err)
+		}
+		copies.Keep(metering.Frozen{Window: 1, Counts: metering.Counts{"w": 1}}, 0, now)
+		if written, err = copies.Restore(t.Context(), table, 1, now); err != nil || len(written) != 1 {
+			t.Errorf("after a copy of era %d the peer wrote windows %v, %v", stored, written, err)
+		}
+	}
+}
