Keep no copies for a store that gives no eras

Each instance kept withdrawn hand-offs of its peers for 30 s, and the lease holder its frozen windows for a minute, also if no response of the store had an era and no copy could ever be used. The test saw one window and one hand-off written from such copies before, and sees none now. The stand-in of the store can give era 0, as the platform does; the test with two instances uses it, so that copies are made before the first restore.

--- a/router/duties.go
+++ b/router/duties.go
@@ -100,7 +100,7 @@
 	freezeDelay := bounds.UsageDue * freezeTenths / 10
 	reportBounds := metering.Bounds{FreezeDelay: freezeDelay, GoneTimeout: goneFactor * freezeDelay}
 	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts), metering.WithMalformed(d.logMalformedUsage()),
-		metering.WithRestores(metering.Restores{Era: deps.store.Era, Copies: deps.peers.restores.copies, Share: deps.peers.sendFrozen}))
+		metering.WithRestores(metering.Restores{Era: deps.store.Era, MayRestore: deps.store.GivesEra, Copies: deps.peers.restores.copies, Share: deps.peers.sendFrozen}))
 	return d
 }
 
--- a/router/restored_usage_test.go
+++ b/router/restored_usage_test.go
@@ -16,6 +16,7 @@
 // epoch, as two running instances meet a store that was restored while they count and report.
 func TestRestoredStoreReportsEveryRequestOnce(t *testing.T) {
 	x := startInstance(t, respondDone)
+	x.store.SetEra(0)
 	y := startInstance(t, respondDone, func(s string) string {
 		s = platformtest.Joining(s, "front-a-2", x.store.Address)
 		at := strings.Index(s, "cloud.address=")
--- a/router/serve.go
+++ b/router/serve.go
@@ -97,7 +97,7 @@
 	n.requestCtx, n.endRequests = context.WithCancelCause(context.Background())
 	n.store = platform.NewStore(s.StoreAddress, n.agreedClock.Observe, platform.WithMalformedEra(logMalformedEra(logger)))
 	n.counter = metering.NewCounter(s.Bounds.UsageWindow, n.agreedClock.Now)
-	n.handoffs = metering.NewHandoffs(n.self.Incarnation)
+	n.handoffs = metering.NewHandoffs(n.self.Incarnation, metering.WithWithdrawn(n.store.GivesEra))
 	n.loadReporter = peerload.NewReporter(s.Instance, n.self.Incarnation, s.PeerAddress, s.Domain, n.directory)
 	observer := decisionLog{logger: logger}
 	n.peerLoads = peerload.NewTable(s.Instance, n.directory, peerload.WithSuspected(observer.logSuspected), peerload.WithLeaving(observer.logLeavingByPeer),
--- a/serving/metering/frozen_test.go
+++ b/serving/metering/frozen_test.go
@@ -54,7 +54,7 @@
 		}
 	}}
 	r := metering.NewReporter(client, fence, anyPlatform{}, counter, metering.Bounds{FreezeDelay: time.Second},
-		metering.WithRestores(metering.Restores{Era: client.Era, Copies: metering.NewFrozenCopies(),
+		metering.WithRestores(metering.Restores{Era: client.Era, MayRestore: mayRestore, Copies: metering.NewFrozenCopies(),
 			Share: func(f metering.Frozen, stored era.Era) { peer.Keep(f, stored, now) }}))
 	counter.Began("w")
 	if err := counter.Write(t.Context(), client, "i", "1"); err != nil {
@@ -68,6 +68,48 @@
 	}
 }
 
+// TestStoreWithoutErasNeedsNoCopies guards against memory that is held, for as long as a backup may be old, in deployments whose store is
+// never restored: hand-offs that were withdrawn and frozen windows.
+func TestStoreWithoutErasNeedsNoCopies(t *testing.T) {
+	table, now := tabletest.New(), time.Unix(1e9, 0)
+	never := func() bool { return false }
+	client, copies := tabletest.NewClient(table), metering.NewFrozenCopies()
+	counter := metering.NewCounter(windowLength, func() time.Time { return now })
+	r := metering.NewReporter(client, &restoringFence{client: client}, anyPlatform{}, counter, metering.Bounds{FreezeDelay: time.Second},
+		metering.WithRestores(metering.Restores{Era: client.Era, MayRestore: never, Copies: copies,
+			Share: func(f metering.Frozen, _ era.Era) { t.Errorf("window %d was sent to peers", f.Window) }}))
+	counter.Began("w")
+	if err := counter.Write(t.Context(), client, "i", "1"); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(2*windowLength - 1)
+	if err := r.Step(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	handoffs := metering.NewHandoffs("2", metering.WithWithdrawn(never))
+	x := handoff(now, 3, false)
+	handoffs.Keep(x, now)
+	x.Made, x.Counts = x.Made+1, nil
+	handoffs.Keep(x, now)
+	table.Restore(tabletest.New().Backup())
+	if _, err := client.Range(t.Context(), metering.WindowTable, "", ""); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(windowLength)
+	w := metering.NewWriter(client, metering.NewCounter(windowLength, func() time.Time { return now }), handoffs, &peerRecorder{}, "j", "2",
+		metering.WithEra(client.Era, never, copies))
+	for range 2 { // the second step writes what the owner has not withdrawn again since the first
+		written, err := w.Step(t.Context(), now)
+		if err != nil || len(written) != 0 {
+			t.Errorf("hand-offs %v were kept, %v", written, err)
+		}
+		now = now.Add(4 * metering.CopyInterval)
+	}
+	if n := len(table.Rows(metering.WindowTable, "")); n != 0 {
+		t.Errorf("%d frozen windows were kept", n)
+	}
+}
+
 // TestCopyOfImpossibleEraIsRejected guards against a malformed datagram that writes a row to the store: a copy of an era below 0 counts as
 // lost in era 0, in which no store was restored. A copy of an era that cannot be would never count as lost.
 func TestCopyOfImpossibleEraIsRejected(t *testing.T) {
--- a/serving/metering/handoffs.go
+++ b/serving/metering/handoffs.go
@@ -12,6 +12,8 @@
 type Handoffs struct {
 	// self is the instance's own incarnation. Hand-offs of it, which a stopping peer may send back, are ignored.
 	self wire.IncarnationId
+	// mayRestore reports whether the store may be restored to an older state.
+	mayRestore func() bool
 
 	mu   sync.Mutex
 	held map[string]*heldHandoff
@@ -27,9 +29,23 @@
 	orphaned bool
 }
 
+// HandoffsOption configures Handoffs.
+type HandoffsOption func(*Handoffs)
+
+// WithWithdrawn makes Handoffs keep those that were withdrawn lately while mayRestore reports that the store may lose their counts.
+func WithWithdrawn(mayRestore func() bool) HandoffsOption {
+	return func(h *Handoffs) {
+		h.mayRestore = mayRestore
+	}
+}
+
 // NewHandoffs returns an empty collection for an incarnation of an instance.
-func NewHandoffs(self wire.IncarnationId) *Handoffs {
-	return &Handoffs{self: self, held: map[string]*heldHandoff{}, withdrawn: map[string]*heldHandoff{}}
+func NewHandoffs(self wire.IncarnationId, opts ...HandoffsOption) *Handoffs {
+	h := &Handoffs{self: self, mayRestore: func() bool { return false }, held: map[string]*heldHandoff{}, withdrawn: map[string]*heldHandoff{}}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
 }
 
 // Keep stores a hand-off in place of an older one of the same counts, or removes the one that it withdraws. It does nothing if a
--- a/serving/metering/restored.go
+++ b/serving/metering/restored.go
@@ -16,6 +16,8 @@
 type Restores struct {
 	// Era returns the era of the store's last answer.
 	Era func() era.Era
+	// MayRestore reports whether the store may be restored to an older state. Otherwise no copies are kept or sent.
+	MayRestore func() bool
 	// Copies are the copies of frozen windows that this instance keeps.
 	Copies *FrozenCopies
 	// Share sends a copy to the peers, with the era in which the store has the window. That may have passed meanwhile.
@@ -31,7 +33,7 @@
 
 // noRestores are those of a store that is never restored.
 func noRestores() Restores {
-	return Restores{Era: func() era.Era { return 0 }, Copies: NewFrozenCopies(), Share: func(Frozen, era.Era) {}}
+	return Restores{Era: func() era.Era { return 0 }, MayRestore: func() bool { return false }, Copies: NewFrozenCopies(), Share: func(Frozen, era.Era) {}}
 }
 
 // ObserveEra notes the era of the store. It is to be called also while the lease is not held, by the goroutine that calls Step.
@@ -46,8 +48,11 @@
 	return r.era == 0 || now.Sub(r.eraSince) >= restoreSettle
 }
 
-// share keeps a copy of a frozen window, and sends it to the peers.
+// share keeps a copy of a frozen window, and sends it to the peers, if the store may be restored.
 func (r *Reporter) share(f *frozenWindow) {
+	if !r.restores.MayRestore() {
+		return
+	}
 	x, stored := copyOf(&f.row), era.Of(int(f.revision))
 	r.restores.Copies.Keep(x, stored, r.counter.now())
 	r.restores.Share(x, stored)
@@ -138,14 +143,14 @@
 	h.withdrawn = map[string]*heldHandoff{}
 }
 
-// noteWithdrawn keeps a hand-off that was withdrawn, as the store may lose the counts. The caller must hold h.mu.
+// noteWithdrawn keeps a hand-off that was withdrawn if the store may lose the counts. The caller must hold h.mu.
 func (h *Handoffs) noteWithdrawn(key string, now time.Time) {
 	for k, x := range h.withdrawn {
 		if now.Sub(x.received) > handoffLifetime {
 			delete(h.withdrawn, k)
 		}
 	}
-	if x, known := h.held[key]; known {
+	if x, known := h.held[key]; known && h.mayRestore() {
 		h.withdrawn[key] = &heldHandoff{Handoff: x.Handoff, received: now}
 	}
 }
--- a/serving/metering/restored_test.go
+++ b/serving/metering/restored_test.go
@@ -11,16 +11,19 @@
 	"pgregory.net/rapid"
 )
 
+// mayRestore is that of a store whose responses have an era.
+func mayRestore() bool { return true }
+
 // startRestorable completes an instance whose table may be restored.
 func (m *usageModel) startRestorable(i *instance) {
 	i.client, i.copies = tabletest.NewClient(m.table), metering.NewFrozenCopies()
 	i.keeper = lease.NewKeeper("duties", lease.Identity{Instance: i.name, Incarnation: i.incarnation}, i, m.clock, lease.WithEra(i.client.Era))
 	i.reporter = metering.NewReporter(i, i.keeper, m.platform, i.counter, m.bounds,
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }),
-		metering.WithRestores(metering.Restores{Era: i.client.Era, Copies: i.copies, Share: func(f metering.Frozen, stored era.Era) { m.share(i, f, stored) }}))
-	i.handoffs = metering.NewHandoffs(i.incarnation)
+		metering.WithRestores(metering.Restores{Era: i.client.Era, MayRestore: mayRestore, Copies: i.copies, Share: func(f metering.Frozen, stored era.Era) { m.share(i, f, stored) }}))
+	i.handoffs = metering.NewHandoffs(i.incarnation, metering.WithWithdrawn(mayRestore))
 	i.writer = metering.NewWriter(i, i.counter, i.handoffs, i, i.name, i.incarnation,
-		metering.WithEra(i.client.Era, func() bool { return true }, i.copies))
+		metering.WithEra(i.client.Era, mayRestore, i.copies))
 }
 
 // share delivers a copy of a frozen window to the other instances.
@@ -142,7 +145,7 @@
 	counter := metering.NewCounter(windowLength, func() time.Time { return now })
 	peers := &withdrawalCounter{}
 	w := metering.NewWriter(client, counter, metering.NewHandoffs("1"), peers, "i", "1",
-		metering.WithEra(client.Era, func() bool { return true }, metering.NewFrozenCopies()))
+		metering.WithEra(client.Era, mayRestore, metering.NewFrozenCopies()))
 	step := func() {
 		now = now.Add(metering.CopyInterval)
 		if _, err := w.Step(t.Context(), now); err != nil {
