--- a/router/usage.go
+++ b/router/usage.go
@@ -29,9 +29,10 @@
 	liveInstances func() int
 	logger        *log.Logger
 
-	// era is the era of the store in which the base of the agreed time is known to be stored, and eraSince when a later one became known.
-	era      era.Era
-	eraSince time.Time
+	// era is the era of the store in which the base of the agreed time is known to be stored, 0 before the first check in a later one.
+	era era.Era
+	// baseMissed is when this instance first found that a restored store has no base.
+	baseMissed time.Time
 }
 
 // run writes the counts periodically until ctx ends, and once more then. Counts are written only once the clock
@@ -82,10 +83,10 @@
 		return found, err
 	}
 	if u.store.Era() > 0 {
-		if u.eraSince.IsZero() {
-			u.eraSince = time.Now()
+		if u.baseMissed.IsZero() {
+			u.baseMissed = time.Now()
 		}
-		if time.Since(u.eraSince) < baseSettle {
+		if time.Since(u.baseMissed) < baseSettle {
 			return false, nil
 		}
 	}
