Reject copies of frozen windows with times that JSON cannot encode

After one such datagram, each write of the copies in a new era failed, and with it the instance's write of its own counts and, at the lease holder, all reports, for the minute for which a copy is kept.

--- a/serving/metering/frozen.go
+++ b/serving/metering/frozen.go
@@ -17,6 +17,8 @@
 	frozenLifetime = time.Minute
 	// maxFrozen bounds the copies that are kept.
 	maxFrozen = 64
+	// maxYear is the last year of a time that JSON can encode. The first one is 0.
+	maxYear = 9999
 )
 
 // frozenWindow is the row of a frozen window and its revision.
@@ -50,6 +52,16 @@
 	return f
 }
 
+// valid reports whether a lease holder may have sent the copy. A row with other times cannot be encoded.
+func (f *Frozen) valid() bool {
+	for _, at := range f.Sources {
+		if year := time.UnixMilli(at).UTC().Year(); year < 0 || year > maxYear {
+			return false
+		}
+	}
+	return f.Window >= 0 && f.Counts.valid() == nil
+}
+
 // row returns the window's row.
 func (f *Frozen) row() windowRow {
 	w := windowRow{Window: f.Window, Counts: f.Counts, Epoch: f.Epoch, Sources: make(map[string]time.Time, len(f.Sources)), Ended: f.Ended, Reported: f.Reported}
@@ -80,7 +92,7 @@
 // Keep keeps a copy of a window that the store has in an era. Of two copies of a window, one that was reported is kept, and otherwise the
 // one with the higher epoch. A malformed copy is ignored.
 func (c *FrozenCopies) Keep(f Frozen, stored era.Era, now time.Time) {
-	if f.Window < 0 || f.Counts.valid() != nil || stored < 0 || stored > era.Max {
+	if !f.valid() || stored < 0 || stored > era.Max {
 		return
 	}
 	c.mu.Lock()
--- a/serving/metering/frozen_test.go
+++ b/serving/metering/frozen_test.go
@@ -127,3 +127,18 @@
 		}
 	}
 }
+
+// TestCopyWithImpossibleTimeIsRejected guards against a malformed datagram after which an instance writes no counts, and reports none, until
+// the copy expires: a time beyond the year 9999 cannot be encoded.
+func TestCopyWithImpossibleTimeIsRejected(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, at := range []int64{1 << 48, -1 << 48, 1<<63 - 1, -1 << 63} {
+		table, copies := tabletest.New(), metering.NewFrozenCopies()
+		counts := metering.Counts{"w": 1}
+		copies.Keep(metering.Frozen{Window: 1, Counts: counts, Sources: map[string]int64{"i/1": at}}, 0, now)
+		copies.Keep(metering.Frozen{Window: 2, Counts: counts, Sources: map[string]int64{"i/1": now.UnixMilli(), "no time": time.Time{}.UnixMilli()}}, 0, now)
+		if written, err := copies.Restore(t.Context(), table, 1, now); err != nil || len(written) != 1 || written[0] != 2 {
+			t.Errorf("with the time %d, windows %v were written, %v", at, written, err)
+		}
+	}
+}
