Reject hand-offs with times that JSON cannot encode

One such datagram made each write of hand-offs fail, and the instance writes its own counts after those: it wrote none until the hand-off expired after 30 s, when its windows are frozen. The test saw the write fail with "year outside of range" before.

--- a/serving/metering/frozen.go
+++ b/serving/metering/frozen.go
@@ -17,8 +17,6 @@
 	frozenLifetime = time.Minute
 	// maxFrozen bounds the copies that are kept.
 	maxFrozen = 64
-	// maxYear is the last year of a time that JSON can encode. The first one is 0.
-	maxYear = 9999
 )
 
 // frozenWindow is the row of a frozen window and its revision.
@@ -52,10 +50,16 @@
 	return f
 }
 
+// isEncodable reports whether JSON can encode a time in Unix milliseconds: one of the years 0 to 9999.
+func isEncodable(at int64) bool {
+	year := time.UnixMilli(at).UTC().Year()
+	return year >= 0 && year <= 9999
+}
+
 // valid reports whether a lease holder may have sent the copy. A row with other times cannot be encoded.
 func (f *Frozen) valid() bool {
 	for _, at := range f.Sources {
-		if year := time.UnixMilli(at).UTC().Year(); year < 0 || year > maxYear {
+		if !isEncodable(at) {
 			return false
 		}
 	}
--- a/serving/metering/handoff_test.go
+++ b/serving/metering/handoff_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// TestMalformedHandoffStopsNoWrites guards against a malformed datagram after which an instance writes no counts for as long as it keeps
+// hand-offs: a time beyond the year 9999 cannot be encoded.
+func TestMalformedHandoffStopsNoWrites(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, at := range []int64{1 << 48, -1 << 48, 1<<63 - 1, -1 << 63} {
+		for name, spoil := range map[string]func(x *metering.Handoff){
+			"made":    func(x *metering.Handoff) { x.Made = at },
+			"changed": func(x *metering.Handoff) { x.Changed = at },
+		} {
+			h := newHandoffFixture(t)
+			x := handoff(now, 3, true)
+			spoil(&x)
+			h.handoffs.Keep(x, now)
+			h.handoffs.Keep(handoff(now, 2, true), now)
+			if written := h.write(now); len(written) != 1 || written[0].Counts["w"] != 2 {
+				t.Errorf("after a hand-off that was %s at %d, %v was written", name, at, written)
+			}
+		}
+	}
+}
+
 func TestHandoffNeverLowersCounts(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	tests := []struct {
--- a/serving/metering/handoffs.go
+++ b/serving/metering/handoffs.go
@@ -49,9 +49,9 @@
 }
 
 // Keep stores a hand-off in place of an older one of the same counts, or removes the one that it withdraws. It does nothing if a
-// newer one is stored. The time now is the agreed time, as in Write.
+// newer one is stored, or if a time cannot be written. The time now is the agreed time, as in Write.
 func (h *Handoffs) Keep(x Handoff, now time.Time) {
-	if x.Incarnation == h.self {
+	if x.Incarnation == h.self || !isEncodable(x.Made) || !isEncodable(x.Changed) {
 		return
 	}
 	h.mu.Lock()
