--- a/serving/metering/frozen.go
+++ b/serving/metering/frozen.go
@@ -50,6 +50,22 @@
 	return f
 }
 
+// isEncodable reports whether JSON can encode a time in Unix milliseconds: one of the years 0 to 9999.
+func isEncodable(at int64) bool {
+	year := time.UnixMilli(at).UTC().Year()
+	return year >= 0 && year <= 9999
+}
+
+// valid reports whether a lease holder may have sent the copy. A row with other times cannot be encoded.
+func (f *Frozen) valid() bool {
+	for _, at := range f.Sources {
+		if !isEncodable(at) {
+			return false
+		}
+	}
+	return f.Window >= 0 && f.Counts.valid() == nil
+}
+
 // row returns the window's row.
 func (f *Frozen) row() windowRow {
 	w := windowRow{Window: f.Window, Counts: f.Counts, Epoch: f.Epoch, Sources: make(map[string]time.Time, len(f.Sources)), Ended: f.Ended, Reported: f.Reported}
@@ -78,9 +94,9 @@
 }
 
 // Keep keeps a copy of a window that the store has in an era. Of two copies of a window, one that was reported is kept, and otherwise the
-// one with the higher epoch.
+// one with the higher epoch. A malformed copy is ignored.
 func (c *FrozenCopies) Keep(f Frozen, stored era.Era, now time.Time) {
-	if f.Window < 0 || f.Counts.valid() != nil {
+	if !f.valid() || stored < 0 || stored > era.Max {
 		return
 	}
 	c.mu.Lock()
