Ignore numbers in quota packets that cannot be counted with

An ask with an infinite or huge cost was granted by a full bucket, which was then empty for good. An answer with a share that is no number let an instance without a coordinator run every request. Costs outside 0 to maxCost and other numbers that are not within 1e15 are now passed over; the new test fails without either check.

--- a/serving/quota/exchange.go
+++ b/serving/quota/exchange.go
@@ -75,7 +75,7 @@
 	m.peers.refresh(m, now)
 	for _, a := range p.Asks {
 		c := m.coordinators[a.Workspace]
-		if c == nil || !c.ready {
+		if c == nil || !c.ready || !(a.Cost >= 0 && a.Cost <= maxCost) {
 			continue
 		}
 		c.advance(now, m.peers.alive)
@@ -83,7 +83,9 @@
 		out.Answers = append(out.Answers, c.ask(p.Incarnation, a, now))
 	}
 	for _, x := range p.Answers {
-		m.takeAnswer(p.From, x, now)
+		if valid(x.Level) && valid(x.Share) && valid(x.Allowance) {
+			m.takeAnswer(p.From, x, now)
+		}
 	}
 	for _, r := range p.Reports {
 		if c := m.coordinators[r.Workspace]; c != nil && valid(r.Spent) && valid(r.Known) {
@@ -102,9 +104,12 @@
 	}
 }
 
-// valid reports whether a number of another instance can be counted with.
+// maxAmount bounds the numbers of other instances: a workspace with a million tokens a second spends that much in 30 years.
+const maxAmount = 1e15
+
+// valid reports whether a number of another instance can be counted with. NaN is not valid.
 func valid(x float64) bool {
-	return !math.IsNaN(x) && !math.IsInf(x, 0)
+	return math.Abs(x) <= maxAmount
 }
 
 // takeAnswer passes an answer on to the request that waits for it.
