Charge a send that ends in a panic

A panic while an endpoint's answer is received left the send uncounted in possibleRuns, so that its cost was given back although the endpoint had the request. Nothing is given back now if run did not return. The test found a charge of 0 for one run before.

--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -29,10 +29,11 @@
 	workspace wire.WorkspaceName
 	rank      int
 	// limited is the workspace if it has a quota, and nil otherwise. grant is what the request has taken from it, charged the sends that
-	// have been paid for.
+	// have been paid for. ended is set once run has returned, without a panic.
 	limited  *route.Workspace
 	grant    *quota.Grant
 	charged  int
+	ended    bool
 	deadline time.Time
 	budget   *retry.Budget
 
--- a/serving/relay/quota.go
+++ b/serving/relay/quota.go
@@ -68,9 +68,10 @@
 	j.charged++
 }
 
-// settleQuota gives back the cost of the sends that no endpoint can have run.
+// settleQuota gives back the cost of the sends that no endpoint can have run. After a panic, it is not known whether an endpoint has run the
+// last one.
 func (j *job) settleQuota() {
-	if j.grant != nil {
+	if j.grant != nil && (j.ended || j.charged == 0) {
 		j.grant.Refund(max(j.charged, 1) - j.possibleRuns)
 	}
 }
--- a/serving/relay/quota_test.go
+++ b/serving/relay/quota_test.go
@@ -110,3 +110,15 @@
 		}
 	}
 }
+
+// TestSendThatPanicsIsCharged guards against a run that is given back, as the endpoint's answer caused a panic before the run was counted.
+func TestSendThatPanicsIsCharged(t *testing.T) {
+	h := newQuotaHarness(route.Quota{Rate: 1, Burst: 10}, panics)
+	func() {
+		defer func() { _ = recover() }()
+		h.serve("h", "key")
+	}()
+	if got := h.manager.Usage()[0].Spent; h.sender.runs != 1 || got != 1 {
+		t.Errorf("charged %v for %d runs, want 1 for one", got, h.sender.runs)
+	}
+}
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -225,4 +225,5 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.run(ctx)
+	j.ended = true
 }
