Lower the share of an instance that is cut off alone

An instance that no coordinator answers went on with its last share of the limit without an end, while its domain divided the whole limit among the others. After 3 s, in which a domain gets another coordinator, its share is now half of an even one at most.

--- a/serving/quota/account.go
+++ b/serving/quota/account.go
@@ -53,6 +53,8 @@
 	level, share float64
 	answeredAt   time.Time
 	answered     bool
+	// least is the least share that the instance uses without a coordinator.
+	least float64
 	// local is set while the coordinator does not answer, timeouts counts the requests that waited in vain; bucket is then the level of the instance's share at bucketAt.
 	local    bool
 	timeouts int
@@ -120,7 +122,8 @@
 	if !a.answered {
 		a.share = even
 	}
-	a.share = math.Max(a.share, minShare*even)
+	a.least = minShare * even
+	a.share = math.Max(a.share, a.least)
 	level := math.Min(a.level+a.quota.Rate*now.Sub(a.answeredAt).Seconds(), a.quota.Burst)
 	a.local, a.bucket, a.bucketAt = true, a.share*level, now
 	// What was spent from the allowance is not in the level.
@@ -131,6 +134,9 @@
 // that the whole workspace needs is there, as shares are often smaller than a request; the bucket may go below zero. An
 // instance that has never been answered needs the whole cost: after a start of all instances, each would run a request too many.
 func (a *account) takeLocal(cost float64, now time.Time) (bool, time.Duration) {
+	if now.Sub(a.answeredAt) > successorTime {
+		a.share = math.Min(a.share, a.least)
+	}
 	rate := a.share * a.quota.Rate
 	a.bucket = math.Min(a.bucket+rate*now.Sub(a.bucketAt).Seconds(), a.share*a.quota.Burst)
 	a.bucketAt = now
@@ -139,15 +145,17 @@
 		need = math.Min(cost, a.share*a.quota.Burst)
 	}
 	if a.bucket < need {
-		return false, min(seconds((need-a.bucket)/rate), maxLocalRetryAfter)
+		return false, min(seconds((need-a.bucket)/rate), successorTime)
 	}
 	a.bucket -= cost
 	a.spend(cost)
 	return true, 0
 }
 
-// maxLocalRetryAfter bounds when a client that was refused by a local bucket is told to return: the domain has a new coordinator by then.
-const maxLocalRetryAfter = 3 * time.Second
+// successorTime is how long a domain takes at most to get a new coordinator. A client that was refused by a local bucket is told to return by
+// then. An instance that is not answered for longer does not reach the coordinator, which divides the whole limit among the others: it goes on
+// with the least share.
+const successorTime = 3 * time.Second
 
 // nextReport returns a report if one is due.
 func (a *account) nextReport() (Report, bool) {
--- a/serving/quota/pauses_test.go
+++ b/serving/quota/pauses_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"cowslipshunt.example/serving/route"
 )
 
 // Instances with a fifth of a core pause until the next period of the scheduler once they have used up their time.
@@ -53,3 +55,18 @@
 		})
 	}
 }
+
+// TestInstanceThatHearsNothing guards against an instance that goes on with its last share of the limit although its coordinator divides the
+// whole limit among the others: all traffic had entered there, and then its incoming packets are lost.
+func TestInstanceThatHearsNothing(t *testing.T) {
+	q := route.Quota{Unit: route.Tokens, Rate: 5e5, Burst: 25e4}
+	testFleet(t, 4, one(q), func(f *fleet) {
+		x := f.instances[1]
+		start := time.Now()
+		f.load("w", 4*q.Rate, 8*time.Second, prompts, func() *instance { return x })
+		x.freeze()
+		f.load("w", 4*q.Rate, 10*time.Second, prompts, f.anyInstance)
+		x.thaw()
+		f.checkBound("w", q, start)
+	})
+}
