--- a/serving/quota/bucket.go
+++ b/serving/quota/bucket.go
@@ -224,8 +224,9 @@
 }
 
 // spentElsewhere counts what another domain has spent since it was last heard, up to now. What was reserved for it and not spent is given
-// back, as far as the level of its own bucket, theirs, says that it is left.
-func (b *bucket) spentElsewhere(name wire.DomainName, cost, theirs float64, now time.Time) {
+// back, as far as the level of its own bucket, theirs, says that it is left. Of a domain that was not heard for longer than cutReserve, no more
+// than recent counts, which is what it spent in the last historySeconds: a debt for all that time would refuse the workspace for as long again.
+func (b *bucket) spentElsewhere(name wire.DomainName, cost, theirs, recent float64, now time.Time) {
 	d := b.domains[name]
 	left := d.reserved - cost
 	if left > 0 {
@@ -233,6 +234,10 @@
 	} else {
 		left = math.Min(left+d.lost, 0)
 	}
+	if now.Sub(d.heard) > cutReserve {
+		recent = math.Max(recent, 0)
+		cost, left = math.Min(cost, recent), math.Max(left, -recent)
+	}
 	d.reserved, d.lost, d.silent, d.heard = 0, 0, false, now
 	b.level += left
 	b.cap(now)
--- a/serving/quota/hear.go
+++ b/serving/quota/hear.go
@@ -28,25 +28,25 @@
 			spent = 0
 			traffic.add(t.Recent, now)
 		}
-		c.count(p.Domain, own, spent, t.Level, now)
+		c.count(p.Domain, own, spent, t, now)
 		return
 	}
 	if t.Sequence <= known.sequence {
 		return
 	}
 	known.at = now
-	c.count(p.Domain, own, known.advance(0, t.Sequence, t.Spent), t.Level, now)
+	c.count(p.Domain, own, known.advance(0, t.Sequence, t.Spent), t, now)
 }
 
 // count counts what a coordinator of another domain, or a former one of the own domain, has spent.
-func (c *coordinator) count(name, own wire.DomainName, spent, level float64, now time.Time) {
+func (c *coordinator) count(name, own wire.DomainName, spent float64, t Total, now time.Time) {
 	if name == own {
 		if spent != 0 {
 			c.spend(spent, now)
 		}
 		return
 	}
-	c.spentElsewhere(name, spent, level, now)
+	c.spentElsewhere(name, spent, t.Level, t.Recent, now)
 }
 
 // domainOf returns the state of a domain. That of the own one only holds the counts of other coordinators.
