Measure a coordinator's silence from the first request in vain

An instance without requests is not answered either, so the age of its last answer does not tell how long its coordinator has been silent: its share was lowered at once. The new test refused its third request before.

--- a/serving/quota/account.go
+++ b/serving/quota/account.go
@@ -53,8 +53,10 @@
 	level, share float64
 	answeredAt   time.Time
 	answered     bool
-	// least is the least share that the instance uses without a coordinator.
-	least float64
+	// least is the least share that the instance uses without a coordinator. localSince is when local was set; an instance without requests is not
+	// answered either, so answeredAt does not tell how long the coordinator has been silent.
+	least      float64
+	localSince time.Time
 	// local is set while the coordinator does not answer, timeouts counts the requests that waited in vain; bucket is then the level of the instance's share at bucketAt.
 	local    bool
 	timeouts int
@@ -125,7 +127,8 @@
 	a.least = minShare * even
 	a.share = math.Max(a.share, a.least)
 	level := math.Min(a.level+a.quota.Rate*now.Sub(a.answeredAt).Seconds(), a.quota.Burst)
-	a.local, a.bucket, a.bucketAt = true, a.share*level, now
+	a.local, a.localSince = true, now
+	a.bucket, a.bucketAt = a.share*level, now
 	// What was spent from the allowance is not in the level.
 	a.bucket -= a.spent - a.acked
 }
@@ -134,7 +137,7 @@
 // that the whole workspace needs is there, as shares are often smaller than a request; the bucket may go below zero. An
 // instance that has never been answered needs the whole cost: after a start of all instances, each would run a request too many.
 func (a *account) takeLocal(cost float64, now time.Time) (bool, time.Duration) {
-	if now.Sub(a.answeredAt) > successorTime {
+	if now.Sub(a.localSince) > successorTime {
 		a.share = math.Min(a.share, a.least)
 	}
 	rate := a.share * a.quota.Rate
--- a/serving/quota/malformed_test.go
+++ b/serving/quota/malformed_test.go
@@ -91,3 +91,29 @@
 		})
 	}
 }
+
+// TestIdleInstanceKeepsItsShare guards against an instance that lowers its share at once when its coordinator falls silent, as it has not been
+// answered while it had no requests.
+func TestIdleInstanceKeepsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m *quota.Manager
+		var w wire.WorkspaceName
+		answers := true
+		m, w = newScripted(false, func(p *quota.Packet) {
+			for _, a := range p.Asks {
+				if answers {
+					go m.Receive(&quota.Packet{From: "10.0.0.2:1", Incarnation: "peer", Domain: "a", Answers: []quota.Answer{{Number: a.Number, Workspace: a.Workspace, Granted: true, Level: large.Burst, Share: 1}}})
+				}
+			}
+		})
+		for i := range 3 {
+			if _, err := m.Take(context.Background(), &route.Workspace{Name: w, Quota: large}, quota.Cost{Unit: route.Tokens, Amount: 1e6}); err != nil {
+				t.Errorf("request %d got %v", i+1, err)
+			}
+			if answers {
+				answers = false
+				time.Sleep(5 * time.Second)
+			}
+		}
+	})
+}
