Forget the counts of coordinators that are gone

Each coordinator kept the count of every incarnation that it had heard of, for as long as it ran. Counts are now dropped 10 minutes after the last packet; one that is heard again counts as new.

--- a/serving/quota/coordinator.go
+++ b/serving/quota/coordinator.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// forgetCounts drops the counts of coordinators that have not been heard for long: each restart brings a new incarnation.
+func (c *coordinator) forgetCounts(now time.Time) {
+	for _, d := range c.domains {
+		d.forgetCounts(now)
+	}
+	if c.former != nil {
+		c.former.forgetCounts(now)
+	}
+}
+
+func (d *domain) forgetCounts(now time.Time) {
+	for id, n := range d.counts {
+		if now.Sub(n.at) > countsKept {
+			delete(d.counts, id)
+		}
+	}
+}
+
+// countsKept is how long the count of a coordinator is kept after its last packet. One that is heard again after longer counts as new: no more
+// than it spent in the last historySeconds.
+const countsKept = 10 * time.Minute
+
 // clientKept is how long an instance's counts are kept after its last packet. It is longer than any repeated report is late.
 const clientKept = 30 * time.Second
 
--- a/serving/quota/exchange.go
+++ b/serving/quota/exchange.go
@@ -155,6 +155,7 @@
 			c.lead(leads, now)
 			c.settle(now, wait)
 			c.forgetClients(now)
+			c.forgetCounts(now)
 			c.note(now)
 			m.tickTotals(c, now)
 		}
