--- a/serving/quota/exchange.go
+++ b/serving/quota/exchange.go
@@ -76,7 +76,7 @@
 	m.peers.refresh(m, now)
 	for _, a := range p.Asks {
 		c := m.coordinators[a.Workspace]
-		if c == nil || !c.ready {
+		if c == nil || !c.ready || !(a.Cost >= 0 && a.Cost <= maxCost) {
 			continue
 		}
 		c.advance(now, m.peers.alive)
@@ -91,7 +91,9 @@
 		}
 	}
 	for _, x := range p.Answers {
-		m.takeAnswer(p.From, x, now)
+		if valid(x.Level) && valid(x.Share) && valid(x.Allowance) {
+			m.takeAnswer(p.From, x, now)
+		}
 	}
 	for _, r := range p.Reports {
 		if c := m.coordinators[r.Workspace]; c != nil && valid(r.Spent) && valid(r.Known) {
@@ -110,9 +112,12 @@
 	}
 }
 
-// valid reports whether a number of another instance can be counted with.
+// maxAmount bounds the numbers of other instances: a workspace with a million tokens a second spends that much in 30 years.
+const maxAmount = 1e15
+
+// valid reports whether a number of another instance can be counted with. NaN is not valid.
 func valid(x float64) bool {
-	return !math.IsNaN(x) && !math.IsInf(x, 0)
+	return math.Abs(x) <= maxAmount
 }
 
 // takeAnswer passes an answer on to the request that waits for it.
@@ -156,6 +161,7 @@
 			}
 			c.settle(now, wait)
 			c.forgetClients(now)
+			c.forgetCounts(now)
 			c.note(now)
 			m.tickTotals(c, now)
 		}
