--- a/serving/quota/fleet_test.go
+++ b/serving/quota/fleet_test.go
@@ -35,8 +35,8 @@
 	lost, repeated float64
 	maxDelay       time.Duration
 	// cut holds the domains that are partitioned from the others, since when.
-	cut      map[wire.DomainName]time.Time
-	packets  int
+	cut     map[wire.DomainName]time.Time
+	packets int
 	// asked holds the requests that the workspaces have sent; what follows holds their outcomes.
 	asked    []run
 	runs     []run
