Bound the bytes of requests that an endpoint holds

With the contract pressure, an endpoint crashes if the requests that it holds exceed its memory. Each instance now counts what it has sent there and has no complete answer to, and leaves an endpoint out of the choice that would hold more than 32 MB.

An instance may always use its share of the bound, and more while the requests that its peers report leave room. A share alone would refuse requests for endpoints with room: at 90 instances it is 373 KB, three bodies of 100 KB.

Refusals for this cause have a reason of their own. Without the contract nothing is counted.

--- a/router/serve.go
+++ b/router/serve.go
@@ -106,8 +106,14 @@
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
 	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(shareOf(s.MemoryBytes)))
 	n.quotas = newQuotaRunner(s, n)
-	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relay.WithCacheReporter(n.loadReporter.RecordSent),
-		relay.WithQuarantine(n.quarantine), relay.WithQuota(n.quotas.manager), relay.WithSpeedReporter(n.reportSpeed))
+	relayOpts := []relay.Option{
+		relay.WithCacheReporter(n.loadReporter.RecordSent), relay.WithQuarantine(n.quarantine), relay.WithQuota(n.quotas.manager),
+		relay.WithSpeedReporter(n.reportSpeed),
+	}
+	if s.LimitsHeldBytes {
+		relayOpts = append(relayOpts, relay.WithEndpointBytes(maxEndpointBytes))
+	}
+	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relayOpts...)
 	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
 	n.callerConns = connections.Track(n.callerServer, clock, connections.WithUnreadObserver(observer.logClosedUnread))
@@ -214,7 +220,8 @@
 }
 
 // cleanUp drops lapsed endpoints, closes pooled connections that lead to endpoints no longer listed or have been idle for too
-// long, closes callers' connections that have been idle for too long, and updates the retry budget as instances come and go.
+// long, closes callers' connections that have been idle for too long, and updates the retry budget
+// and the share of the bytes at endpoints as instances come and go.
 func (n *node) cleanUp() {
 	dropLapsedEndpoints(n.directory, n.logger)
 	listed := n.directory.View().All()
@@ -224,6 +231,7 @@
 	})
 	n.closeIdleConns()
 	n.updateRetryBudget()
+	n.relay.SetEndpointShare(endpointBytesShare(n.liveInstances()))
 }
 
 // closeIdleConns closes callers' connections that have been idle for longer than the configuration allows.
--- a/serving/relay/explain.go
+++ b/serving/relay/explain.go
@@ -119,7 +119,7 @@
 	if retryAfter <= 0 {
 		retryAfter = refusalRetryAfter
 	}
-	return x.refuse(NotRun, "no endpoint is open", retryAfter)
+	return x.refuse(NotRun, j.noEndpointReason(), retryAfter)
 }
 
 // explainEngines adds the choices that lead to the endpoint that would answer, and returns that. It sets refusedFor if the request would be
--- a/serving/relay/harness_test.go
+++ b/serving/relay/harness_test.go
@@ -113,14 +113,14 @@
 // budgetRatio is how many retries each request adds to the retry budget in these tests.
 const budgetRatio = 0.2
 
-func newHarness(next func(a *relay.Attempt) behaviour) *harness {
-	return newHarnessAt(clockwork.NewRealClock(), next)
+func newHarness(next func(a *relay.Attempt) behaviour, opts ...relay.Option) *harness {
+	return newHarnessAt(clockwork.NewRealClock(), next, opts...)
 }
 
-func newHarnessAt(clock clockwork.Clock, next func(a *relay.Attempt) behaviour) *harness {
+func newHarnessAt(clock clockwork.Clock, next func(a *relay.Attempt) behaviour, opts ...relay.Option) *harness {
 	h := &harness{sender: &fakeSender{next: next}, recorder: &recorder{}, directory: roster.NewDirectory()}
 	bounds := relay.BudgetBounds{Window: 10 * time.Second, Ratio: budgetRatio, Slack: 100}
-	h.relay = relay.New(h.directory, h.sender, h.recorder, h.recorder, clock, "a", bounds)
+	h.relay = relay.New(h.directory, h.sender, h.recorder, h.recorder, clock, "a", bounds, opts...)
 	for i := range 4 {
 		for service, stages := range map[wire.ServiceName][]roster.Stage{plainService: {roster.NoStage}, engineService: {roster.Prefill, roster.Decode}} {
 			for _, stage := range stages {
--- a/serving/relay/job.go
+++ b/serving/relay/job.go
@@ -51,7 +51,9 @@
 	metered bool
 	// excluded holds the endpoints that failed or rejected the request.
 	excluded []wire.EndpointId
-	source   *Source
+	// full is set while all open endpoints of the stage chosen last hold as many bytes as they may.
+	full   bool
+	source *Source
 	// sourceLost is set if a KV cache was given up because the endpoint that holds it asked for a pause.
 	sourceLost bool
 	// suspected is set if the request broke off at an endpoint as others with the same parts did.
@@ -135,7 +137,7 @@
 // excluded, unless no endpoint would remain.
 func (j *job) endpoints(need placement.Need) []*roster.Endpoint {
 	now := j.relay.clock.Now()
-	eligible := placement.Eligible(j.relay.directory.View().Service(j.service.Name), need, now)
+	eligible := j.withRoom(placement.Eligible(j.relay.directory.View().Service(j.service.Name), need, now))
 	unreachable := j.relay.reachability.Unreachable(now)
 	if unreachable == nil {
 		return eligible
--- a/serving/relay/relay.go
+++ b/serving/relay/relay.go
@@ -109,6 +109,10 @@
 	quota Quota
 	// rejectedCounts holds the names of the workspaces whose malformed token counts were observed.
 	rejectedCounts sync.Map
+	// endpointBytes bounds the bytes of requests that an endpoint holds; 0 is no bound. endpointShare is the part that this instance may use
+	// whatever its peers hold.
+	endpointBytes int64
+	endpointShare atomic.Int64
 
 	// reportCached is called with the parts of prompts that an endpoint newly caches.
 	reportCached func(id wire.EndpointId, parts []roster.PartID)
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -35,7 +35,7 @@
 			return
 		}
 		if e == nil {
-			j.fail(ctx, cmp.Or(j.refusedFor, "no endpoint is open"))
+			j.fail(ctx, cmp.Or(j.refusedFor, j.noEndpointReason()))
 			return
 		}
 		if !j.allowSend() {
--- a/serving/relay/send.go
+++ b/serving/relay/send.go
@@ -38,6 +38,7 @@
 	x := &exchange{endpoint: e, began: j.relay.clock.Now(), queued: e.PrefillLoad(), unread: tokens}
 	s := &send{endpoint: e, attempt: a, exchange: x, paid: j.tookRetry}
 	s.addLoad(tokens, j.service.Contended)
+	s.release = j.hold(e, s.release)
 	s.watchdog = newWatchdog(ctx, j.relay.clock, &j.mu)
 	s.watchdog.expired = func() { j.endpointSilent(ctx, s) }
 	return s
--- a/serving/roster/endpoint.go
+++ b/serving/roster/endpoint.go
@@ -67,7 +67,9 @@
 	prefillTokens atomic.Int64
 	// peerInFlight and peerPrefillTokens are the same counts for the other instances, from their reports.
 	peerInFlight, peerPrefillTokens atomic.Int64
-	backoff                         backoff
+	// heldBytes are the bytes of this instance's requests that are not answered yet, if they are bounded.
+	heldBytes atomic.Int64
+	backoff   backoff
 	// suspected is set while several other instances avoid the endpoint after failures.
 	suspected atomic.Bool
 	cache     cache
