--- a/router/serve.go
+++ b/router/serve.go
@@ -104,15 +104,17 @@
 		peerload.WithSpeed(observer.logSpeed))
 	n.quarantine = quarantine.New(clock, quarantine.WithRank(n.peerLoads.Rank), quarantine.WithObserver(observer.logQuarantine))
 	bounds := relay.BudgetBounds{Window: s.Bounds.RetryWindow, Ratio: s.Bounds.RetryRatio}
-	replicaClient := platform.NewReplicaClient(n.pool, clock, platform.WithHeldBytes(shareOf(s.MemoryBytes)))
+	clientOpts := []platform.ClientOption{platform.WithHeldBytes(shareOf(s.MemoryBytes))}
 	n.quotas = newQuotaRunner(s, n)
 	relayOpts := []relay.Option{
 		relay.WithCacheReporter(n.loadReporter.RecordSent), relay.WithQuarantine(n.quarantine), relay.WithQuota(n.quotas.manager),
 		relay.WithSpeedReporter(n.reportSpeed),
 	}
 	if s.LimitsHeldBytes {
+		clientOpts = append(clientOpts, platform.WithSlowReaders(observer.logSlowReader))
 		relayOpts = append(relayOpts, relay.WithEndpointBytes(maxEndpointBytes))
 	}
+	replicaClient := platform.NewReplicaClient(n.pool, clock, clientOpts...)
 	n.relay = relay.New(n.directory, replicaClient, n.counter, observer, clock, s.Domain, bounds, relayOpts...)
 	n.callerHandler = newCallerHandler(n.relay, intake.New(clock, shareOf(s.MemoryBytes)), logger)
 	n.callerServer = newCallerServer(n.requestCtx, n.callerHandler)
--- a/serving/relay/pressure.go
+++ b/serving/relay/pressure.go
@@ -71,3 +71,27 @@
 		release()
 	}
 }
+
+// Disconnecter is a caller whose connection can be ended while it is written to.
+type Disconnecter interface {
+	// Disconnect makes the write in progress fail.
+	Disconnect()
+}
+
+// WatchedBody is the body of an answer that takes memory while its caller is written to. If memory is short, the caller may be disconnected.
+type WatchedBody interface {
+	// BeginWrite is called before a part of the answer is written to the caller, EndWrite once that has ended.
+	BeginWrite(c Disconnecter)
+	EndWrite()
+}
+
+// watchedWrite calls write, which writes a part of the answer to the caller.
+func (j *job) watchedWrite(s *send, write func()) {
+	body, watched := s.answer.Body.(WatchedBody)
+	caller, can := j.caller.(Disconnecter)
+	if watched && can {
+		body.BeginWrite(caller)
+		defer body.EndWrite()
+	}
+	write()
+}
--- a/serving/relay/run.go
+++ b/serving/relay/run.go
@@ -151,7 +151,7 @@
 		return
 	}
 	j.observe("Answered", s.exchange, status, "", nil)
-	j.unlocked(func() { j.caller.Answer(status, s.answer.Header, s.body) })
+	j.unlocked(func() { j.watchedWrite(s, func() { j.caller.Answer(status, s.answer.Header, s.body) }) })
 }
 
 // forwardStream passes on the events of a stream as they arrive and returns what follow does. An event that may not follow the last one is not
@@ -181,7 +181,7 @@
 			s.prefilled()
 		}
 		j.forwardHead(s)
-		if err := j.deliver(&event); err != nil {
+		if err := j.deliver(s, &event); err != nil {
 			j.observe(StepAborted, s.exchange, s.answer.Status, "writing an event to the client failed", err)
 			j.caller.Abort()
 			return nil, true
@@ -195,12 +195,13 @@
 
 // deliver writes an event to the caller, which may be slow. During a comment other endpoints may be asked still; then the lock is held, so that
 // no time limit runs meanwhile.
-func (j *job) deliver(e *Event) error {
+func (j *job) deliver(s *send, e *Event) (err error) {
 	if e.HasData {
 		j.mu.Unlock()
 		defer j.mu.Lock()
 	}
-	return j.caller.Event(e.Bytes)
+	j.watchedWrite(s, func() { err = j.caller.Event(e.Bytes) })
+	return err
 }
 
 // unlocked calls do without the job's lock, which sends that were given up need to end.
