--- a/serving/relay/pressure_test.go
+++ b/serving/relay/pressure_test.go
@@ -32,7 +32,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	if c := request(); c.refusal == nil || c.refusal.Verdict != relay.NotRun || !strings.Contains(c.refusal.Reason, "bytes") {
+	if c := request(); c.refusal == nil || c.refusal.Verdict != relay.NotRun || !strings.Contains(c.refusal.Reason, "bytes") || c.refusal.RetryAfter <= 0 {
 		t.Errorf("got %+v", c.refusal)
 	}
 	for range 4 {
