Place services that are not contended by the nominal speed

The costs of all services went by an engine's learned speed. An engine whose service is not contended can have one: from peers that have another configuration, or from before a change of the configuration, for five minutes. The learned speed now counts for contended services only.

--- a/serving/placement/engine.go
+++ b/serving/placement/engine.go
@@ -35,24 +35,36 @@
 	return soonestPrefill(eligible, p, need, decodePrefillRate, now)
 }
 
-// PrefillTime returns the estimated time until an engine has prefilled a prompt, after everything that is queued there.
+// PrefillTime returns the estimated time until an engine of a contended service has prefilled a prompt, after everything that is queued there.
+// It goes by the learned speed of the engine.
 func PrefillTime(e *roster.Endpoint, p *Prompt, now time.Time) time.Duration {
-	rate := prefillRate
+	return toDuration(prefillMillis(e, p, nominalRate(e)*e.Speed(now), now))
+}
+
+// NominalPrefillTime is PrefillTime for an engine of a service that is not contended. It goes by the nominal speed: the engine may have a
+// learned one from peers with another configuration, or from the time before a change of the configuration.
+func NominalPrefillTime(e *roster.Endpoint, p *Prompt, now time.Time) time.Duration {
+	return toDuration(prefillMillis(e, p, nominalRate(e), now))
+}
+
+// nominalRate returns the nominal prefill rate of an engine in tokens per millisecond.
+func nominalRate(e *roster.Endpoint) float64 {
 	if e.Entry().Stage == roster.Decode {
-		rate = decodePrefillRate
+		return decodePrefillRate
 	}
-	return toDuration(prefillMillis(e, p, rate, now))
+	return prefillRate
 }
 
-// prefillMillis returns the estimate of PrefillTime in milliseconds, for a prefill rate in tokens per millisecond.
+// prefillMillis returns the estimated time in milliseconds until an engine has prefilled a prompt, for its prefill rate in tokens per
+// millisecond.
 func prefillMillis(e *roster.Endpoint, p *Prompt, rate float64, now time.Time) float64 {
-	return engineMillis(e, p.UncachedTokens(e.CachedParts(p.IDs, now)), rate, now)
+	return engineMillis(e, p.UncachedTokens(e.CachedParts(p.IDs, now)), rate)
 }
 
 // engineMillis returns the estimated time in milliseconds until an engine has prefilled a number of tokens, after everything that is queued
-// there. The rate is the nominal one in tokens per millisecond.
-func engineMillis(e *roster.Endpoint, tokens int, rate float64, now time.Time) float64 {
-	return float64(e.PrefillLoad()+tokens)/(rate*e.Speed(now)) + batchMillis*float64(e.InFlight())
+// there, for its prefill rate in tokens per millisecond.
+func engineMillis(e *roster.Endpoint, tokens int, rate float64) float64 {
+	return float64(e.PrefillLoad()+tokens)/rate + batchMillis*float64(e.InFlight())
 }
 
 // soonestPrefill returns the engine with the lowest cost: its prefill time, plus affinityMillis unless it is the first in the
--- a/serving/placement/explain.go
+++ b/serving/placement/explain.go
@@ -41,7 +41,11 @@
 		cached := c.cached(parts)
 		rank := first.rank(e)
 		x := Cost{Endpoint: e, Rank: rank, Candidate: !need.Contended || rank < candidates || cached, Uncached: p.UncachedTokens(parts)}
-		millis := engineMillis(e, x.Uncached, rate, now)
+		engineRate := rate
+		if need.Contended {
+			engineRate *= e.Speed(now)
+		}
+		millis := engineMillis(e, x.Uncached, engineRate)
 		x.Prefill = toDuration(millis)
 		switch {
 		case need.Contended:
--- a/serving/placement/spread.go
+++ b/serving/placement/spread.go
@@ -162,7 +162,7 @@
 
 // total returns the cost of an engine with its rank and noise, given how many parts of the prompt it has cached.
 func (c *prefixCost) total(e *roster.Endpoint, p *Prompt, need Need, rank, parts int, rate float64, now time.Time) float64 {
-	cost := engineMillis(e, p.UncachedTokens(parts), rate, now) + c.of(rank, c.cached(parts)) + c.noise*exponential(need.TieBreak, e)
+	cost := engineMillis(e, p.UncachedTokens(parts), rate*e.Speed(now)) + c.of(rank, c.cached(parts)) + c.noise*exponential(need.TieBreak, e)
 	if e.Entry().Domain != need.Near {
 		cost += crossDomainMillis
 	}
@@ -183,12 +183,12 @@
 	var best *roster.Endpoint
 	bestCost := math.Inf(1)
 	for _, e := range near.engines[:near.n] {
-		if cost := engineMillis(e, 0, decodePrefillRate, now); cost < bestCost {
+		if cost := engineMillis(e, 0, decodePrefillRate*e.Speed(now)); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	for _, e := range far.engines[:far.n] {
-		if cost := engineMillis(e, 0, decodePrefillRate, now) + crossDomainMillis; cost < bestCost {
+		if cost := engineMillis(e, 0, decodePrefillRate*e.Speed(now)) + crossDomainMillis; cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
--- a/serving/placement/spread_test.go
+++ b/serving/placement/spread_test.go
@@ -31,6 +31,28 @@
 	}
 }
 
+// TestOtherServicesKeepNominalSpeed guards against services that are not contended and are placed by speeds that were learned before a change of
+// the configuration, or by a peer with another one.
+func TestOtherServicesKeepNominalSpeed(t *testing.T) {
+	list := engines(2, roster.Prefill, "a")
+	p := prompt("x", 10000, 1000)
+	need := placement.Need{Stage: roster.Prefill, Near: "a"}
+	first := placement.ChoosePrefill(list, &p, need, now)
+	before := placement.NominalPrefillTime(first, &p, now)
+	for range 10 {
+		first.ObserveSpeed(0.125, now)
+	}
+	if e := placement.ChoosePrefill(list, &p, need, now); e != first {
+		t.Error("a learned speed moved the prompt to another engine")
+	}
+	if after := placement.NominalPrefillTime(first, &p, now); after != before {
+		t.Errorf("the prefill time is %v, before the speed was learned %v", after, before)
+	}
+	if costs := placement.Costs(list, &p, need, now); costs[0].Endpoint != first || costs[0].Prefill != before {
+		t.Errorf("the costs begin with %+v, want a prefill time of %v", costs[0], before)
+	}
+}
+
 // TestPrefillsThatSayLittleAreIgnored guards against speeds learned from short prompts, or from a queue that is mostly an old estimate.
 func TestPrefillsThatSayLittleAreIgnored(t *testing.T) {
 	e := engines(1, roster.Prefill, "a")[0]
--- a/serving/relay/engine.go
+++ b/serving/relay/engine.go
@@ -94,6 +94,9 @@
 
 // prefillEstimate returns the estimated time until an engine has prefilled the prompt, including the work queued there.
 func (j *job) prefillEstimate(e *roster.Endpoint) time.Duration {
+	if !j.service.Contended {
+		return placement.NominalPrefillTime(e, &j.request.Prompt, j.relay.clock.Now())
+	}
 	return placement.PrefillTime(e, &j.request.Prompt, j.relay.clock.Now())
 }
 
