Count samples of speeds as news of a report

Next hands out the samples and forgets them, but a report without other news is not sent until a second has passed, and its samples were lost. This happens at low load: a prefill that ends between two reports changes no load, and parts that are cached already are not reported again. The new test failed before.

--- a/serving/peerload/reporter.go
+++ b/serving/peerload/reporter.go
@@ -81,7 +81,7 @@
 }
 
 // Next returns the next report and whether it contains anything new: its loads or paused endpoints differ from those of the last
-// report, or it contains sent parts or stage changes.
+// report, or it contains sent parts, samples of speeds or stage changes.
 func (r *Reporter) Next(now time.Time) (Report, bool) {
 	loads := r.loads()
 	changes := r.changes(now)
@@ -89,7 +89,7 @@
 	leaving := r.leaving()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := len(changes) > 0 || len(r.unreported) > 0 || len(r.reportedOnce) > 0 || !slices.Equal(loads, r.lastLoads) || !slices.Equal(paused, r.lastPaused) || !slices.Equal(leaving, r.lastLeaving)
+	changed := len(changes) > 0 || len(r.unreported) > 0 || len(r.reportedOnce) > 0 || len(r.speeds) > 0 || !slices.Equal(loads, r.lastLoads) || !slices.Equal(paused, r.lastPaused) || !slices.Equal(leaving, r.lastLeaving)
 	report := r.template
 	r.sequence++
 	report.Sequence = r.sequence
--- a/serving/peerload/speed_test.go
+++ b/serving/peerload/speed_test.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// TestSamplesMakeReportNew guards against samples that are lost under low load: a report that has nothing new may not be sent, and a prefill that
+// ended between two reports changes no load.
+func TestSamplesMakeReportNew(t *testing.T) {
+	reporter := peerload.NewReporter("peer", "1", "127.0.0.1:1", "a", roster.NewDirectory())
+	reporter.RecordSpeed("e", 1.7)
+	if report, changed := reporter.Next(now); !changed || len(report.Speeds) != 1 {
+		t.Errorf("a report with the samples %v counts as changed: %v", report.Speeds, changed)
+	}
+	if _, changed := reporter.Next(now); changed {
+		t.Error("a report without samples counts as changed")
+	}
+}
+
 // TestFalseSamplesOfPeersAreBounded guards against reports of other versions with samples that are not positive or too many.
 func TestFalseSamplesOfPeersAreBounded(t *testing.T) {
 	d := roster.NewDirectory()
