Tell a caller that reads a long answer slowly from one that reads nothing

A write counted as blocked from its begin, and a long answer is one write. A caller that had been reading one for longer than the bound (10 s) lost its connection to a new caller once all connections were in use. Writes are now of 64 KB at most, and each counts from its own begin. Before, the new test failed in 5 of 5 runs (the other caller got the connection); now it passed 60 runs with -race.

--- a/shared/heads/conn.go
+++ b/shared/heads/conn.go
@@ -142,12 +142,22 @@
 	return n, err
 }
 
+// maxWrite is the longest write to the connection. A long answer is written in several, so that a caller that reads it slowly does not count as
+// one that reads nothing.
+const maxWrite = 64 << 10
+
 // Write writes to the connection.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writing.Store(time.Now().UnixNano())
-	n, err := c.Conn.Write(p)
-	c.writing.Store(0)
-	return n, err
+	defer c.writing.Store(0)
+	written := 0
+	for {
+		c.writing.Store(time.Now().UnixNano())
+		n, err := c.Conn.Write(p[written:min(written+maxWrite, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // resume lets a connection stay that was told to close if a request has arrived on it since.
--- a/shared/heads/heads_test.go
+++ b/shared/heads/heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -203,6 +204,42 @@
 	}
 }
 
+// TestSlowReaderKeepsItsConnection guards against a caller that reads a long answer all the time, for longer than a write may be blocked, and is
+// taken for one that reads nothing when a new caller comes.
+func TestSlowReaderKeepsItsConnection(t *testing.T) {
+	s := newServer(t, 1<<30, 1)
+	c, _ := s.dial("GET /long HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	type result struct {
+		bytes int64
+		err   error
+	}
+	checked, ended := make(chan struct{}), make(chan result, 1)
+	go func() {
+		var r result
+		for wait := true; wait && r.err == nil; time.Sleep(headTimeout / 30) {
+			var n int64
+			n, r.err = io.CopyN(io.Discard, c, 256<<10)
+			r.bytes += n
+			select {
+			case <-checked:
+				wait = false
+			default:
+			}
+		}
+		n, err := io.Copy(io.Discard, c)
+		ended <- result{bytes: r.bytes + n, err: cmp.Or(r.err, err)}
+	}()
+	// Less than the whole answer is read meanwhile, also with what the kernel holds.
+	time.Sleep(2 * headTimeout)
+	if _, in := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n"); status(in) == http.StatusOK {
+		t.Error("another caller got the connection")
+	}
+	close(checked)
+	if r := <-ended; r.err != nil || r.bytes < 32<<20 {
+		t.Errorf("the answer ended after %d bytes: %v", r.bytes, r.err)
+	}
+}
+
 // TestCallersThatReadNothingGiveWay guards against callers that take all connections for ever: they send requests one after the other, and read
 // no answer.
 func TestCallersThatReadNothingGiveWay(t *testing.T) {
