Refuse a request on a new connection that gives way, instead of a reset

At the bound on connections, the oldest one without a request gives way to a new one. In a burst this may be one on which a request has arrived that the server has not read yet; it was closed without an answer, so its caller could not know that the request has not run. The new test failed before, without a response.

--- a/shared/heads/conn.go
+++ b/shared/heads/conn.go
@@ -172,7 +172,7 @@
 	}
 	phase := c.phase.Load()
 	if phase&evicted != 0 {
-		return c.refuse(c.reason, phase&reading == 0)
+		return c.refuse(c.reason, phase&reading == 0 && !link.HasBytes(c.Conn))
 	}
 	if until := c.deadline.Load(); phase == reading && until != 0 && time.Now().UnixNano() >= until {
 		return c.refuse(TooSlow, false)
--- a/shared/heads/heads_test.go
+++ b/shared/heads/heads_test.go
@@ -192,6 +192,38 @@
 	}
 }
 
+// TestClosedConnectionWithUnreadRequestIsRefused guards against a reset in place of a refusal: a new connection gives way to the next one before
+// the server has read the request on it.
+func TestClosedConnectionWithUnreadRequestIsRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	encode := func(heads.Refusal) []byte { return []byte("HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n") }
+	limits := func() heads.Limits { return heads.Limits{MaxBytes: maxHead, Timeout: headTimeout} }
+	guarded := heads.New(1<<30, 1, encode, func(heads.Refusal) {}).Guard(&http.Server{}, 1, limits)(l)
+	s := &testServer{t: t, address: l.Addr().String()}
+	var accepted []net.Conn
+	_, in := s.dial("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	for range 2 {
+		c, err := guarded.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		accepted = append(accepted, c)
+		s.dial()
+	}
+	if n, err := accepted[0].Read(make([]byte, maxHead)); n != 0 || err != io.EOF {
+		t.Fatalf("the server reads %d bytes, %v", n, err)
+	}
+	_ = accepted[0].Close()
+	if got := status(in); got != http.StatusServiceUnavailable {
+		t.Errorf("the request got the status %d", got)
+	}
+}
+
 // TestManyNewConnectionsStayBounded guards against connections that linger after their refusal without a bound.
 func TestManyNewConnectionsStayBounded(t *testing.T) {
 	const maxConns = 4
