Ignore limits of heads that are not positive

A configuration with a negative max_header_bytes or header_timeout_ms refused every request: with 431, or with 408 if its head came in parts. Such limits now count as missing, as those of bodies do. The new test failed before, with the limits -1 and -1s.

--- a/router/head_budget.go
+++ b/router/head_budget.go
@@ -35,12 +35,12 @@
 	return heads.Limits{MaxBytes: process.MaxHeaderBytes, Timeout: headerTimeout}
 }
 
-// headLimits returns the limits for heads of callers' requests.
+// headLimits returns the limits for heads of callers' requests. Limits of the configuration that are not positive count as missing.
 func (n *node) headLimits() heads.Limits {
 	l := heads.Limits{MaxBytes: defaultMaxHead, Timeout: headerTimeout}
 	if t := n.relay.Table(); t != nil {
-		l.MaxBytes = min(cmp.Or(t.Limits.MaxHead, l.MaxBytes), maxHeaderBytes)
-		l.Timeout = cmp.Or(t.Limits.HeadTimeout, l.Timeout)
+		l.MaxBytes = min(cmp.Or(max(t.Limits.MaxHead, 0), l.MaxBytes), maxHeaderBytes)
+		l.Timeout = cmp.Or(max(t.Limits.HeadTimeout, 0), l.Timeout)
 	}
 	return l
 }
--- a/router/head_budget_test.go
+++ b/router/head_budget_test.go
@@ -4,12 +4,24 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"cowslipshunt.example/platform"
 	"cowslipshunt.example/platform/platformtest"
 	"cowslipshunt.example/platform/wire"
+	"cowslipshunt.example/serving/route"
 )
 
+// TestLimitsOfHeadsThatHaveNoMeaningAreDefaults guards against a configuration with negative limits, by which each request would be refused.
+func TestLimitsOfHeadsThatHaveNoMeaningAreDefaults(t *testing.T) {
+	n, _ := explainable(t)
+	want := n.headLimits()
+	n.relay.SetTable(route.NewTable(2, nil, nil, nil, route.Limits{MaxHead: -1, HeadTimeout: -time.Second}))
+	if got := n.headLimits(); got != want {
+		t.Errorf("the limits are %+v, want %+v", got, want)
+	}
+}
+
 // TestLimitOfHeadsFollowsTheConfiguration guards against defaults that cut off what the configuration allows, and against limits that stay in
 // force on connections that are kept.
 func TestLimitOfHeadsFollowsTheConfiguration(t *testing.T) {
