Apply a lease holder's messages about endpoints in order

A lease holder that loads a model sends its entries, in one tick, the end of the last drain, states in which that engine is ready, and the drain of the next one. The entries handled each topic in a goroutine of its own. If the drain of the next engine overtook the states, or the states the end of the last drain, no engine of the domain was usable until the slower handler had run. Meanwhile an entry without a peer in another domain refused requests with 503, NotRun, "no failure domain in reach serves this". That is wrong for the callers, as the holder keeps one engine in service throughout.

HandleInOrder handles several topics in the order in which each link received them; Control uses it for states, notices and drains.

--- a/entry/peer/control.go
+++ b/entry/peer/control.go
@@ -85,12 +85,18 @@
 	return c
 }
 
-// AddHandlers adds handlers for the topics of this package to router.
+// handlersOfEndpoints is the name of the group of handlers that change which endpoints are usable.
+const handlersOfEndpoints = "Endpoints"
+
+// AddHandlers adds handlers for the topics of this package to router. Endpoint states and drains are applied in the order in which a lease
+// holder sent them: it takes an endpoint out of service only after it has announced that another one is back.
 func (c *Control) AddHandlers(router *message.Router) {
-	channel.Handle(router, c.hub, TopicStates, c.handleStates)
-	channel.Handle(router, c.hub, TopicNotice, c.handleNotice)
-	channel.Handle(router, c.hub, TopicDrainBegin, c.handleDrainBegin)
-	channel.Handle(router, c.hub, TopicDrainEnd, c.handleDrainEnd)
+	channel.HandleInOrder(router, c.hub, handlersOfEndpoints,
+		channel.On(TopicStates, c.handleStates),
+		channel.On(TopicNotice, c.handleNotice),
+		channel.On(TopicDrainBegin, c.handleDrainBegin),
+		channel.On(TopicDrainEnd, c.handleDrainEnd),
+	)
 	channel.Handle(router, c.hub, TopicApplied, c.handleApplied)
 	channel.Handle(router, c.hub, channel.TopicLinkUp, c.handleLinkUp)
 }
--- a/shared/channel/hub.go
+++ b/shared/channel/hub.go
@@ -24,6 +24,8 @@
 const (
 	metadataTo   = "To"
 	metadataFrom = "From"
+	// metadataTopic is the topic of a received message.
+	metadataTopic = "Topic"
 )
 
 // subscriptionQueue is the maximum number of messages that wait for one subscriber. When the queue is full, links stop reading
@@ -163,11 +165,18 @@
 // Subscribe returns a channel with the messages of a topic in order. The next message follows once the previous one has been
 // acknowledged.
 func (h *Hub) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	return h.subscribe(ctx, topic), nil
+}
+
+// subscribe returns a channel with the messages of all the given topics, in the order in which each link received them.
+func (h *Hub) subscribe(ctx context.Context, topics ...string) <-chan *message.Message {
 	s := h.newSubscription(ctx)
 	h.mu.Lock()
-	h.topics[topic] = append(h.topics[topic], s)
-	h.mu.Unlock()
-	return s.out, nil
+	defer h.mu.Unlock()
+	for _, topic := range topics {
+		h.topics[topic] = append(h.topics[topic], s)
+	}
+	return s.out
 }
 
 // deliver queues a message for all subscribers to its topic.
--- a/shared/channel/router.go
+++ b/shared/channel/router.go
@@ -21,21 +21,58 @@
 }
 
 // Handle calls f with each message of a topic. If a message can't be decoded or f returns an error, Handle logs the error and drops
-// the message.
+// the message. Messages of different topics are handled concurrently; see HandleInOrder.
 func Handle[T any](router *message.Router, h *Hub, topic string, f func(ctx context.Context, from wire.InstanceName, v T) error) {
-	router.AddConsumerHandler(topic, topic, h, func(m *message.Message) error {
-		from := wire.InstanceName(m.Metadata.Get(metadataFrom))
+	HandleInOrder(router, h, topic, On(topic, f))
+}
+
+// Handler handles the messages of one topic.
+type Handler struct {
+	topic  string
+	handle func(m *message.Message, from wire.InstanceName) error
+}
+
+// On returns a Handler that calls f with each message of a topic.
+func On[T any](topic string, f func(ctx context.Context, from wire.InstanceName, v T) error) Handler {
+	return Handler{topic: topic, handle: func(m *message.Message, from wire.InstanceName) error {
 		v, err := Decode[T](m.Payload)
-		if err == nil {
-			err = f(m.Context(), from, v)
-		}
 		if err != nil {
+			return err
+		}
+		return f(m.Context(), from, v)
+	}}
+}
+
+// HandleInOrder handles the messages of several topics one after another, in the order in which each link received them. It is for
+// messages that are only correct in the order in which they were sent. Errors are treated as by Handle. name names the group.
+func HandleInOrder(router *message.Router, h *Hub, name string, handlers ...Handler) {
+	byTopic := map[string]Handler{}
+	topics := make([]string, 0, len(handlers))
+	for _, handler := range handlers {
+		byTopic[handler.topic] = handler
+		topics = append(topics, handler.topic)
+	}
+	router.AddConsumerHandler(name, name, groupSubscriber{Hub: h, topics: topics}, func(m *message.Message) error {
+		from := wire.InstanceName(m.Metadata.Get(metadataFrom))
+		topic := m.Metadata.Get(metadataTopic)
+		if err := byTopic[topic].handle(m, from); err != nil {
 			h.logger.Warn().Err(err).Str("Topic", topic).Str("From", string(from)).Msg("control message failed")
 		}
 		return nil
 	})
 }
 
+// groupSubscriber subscribes to a group of topics.
+type groupSubscriber struct {
+	*Hub
+	topics []string
+}
+
+// Subscribe returns a channel with the messages of all topics of the group. The name of the group is not a topic.
+func (s groupSubscriber) Subscribe(ctx context.Context, _ string) (<-chan *message.Message, error) {
+	return s.subscribe(ctx, s.topics...), nil
+}
+
 // Send publishes v on a topic to one instance, or to every linked instance if to is empty.
 func Send(p message.Publisher, to wire.InstanceName, topic string, v any) error {
 	payload, err := Encode(v)
--- a/shared/channel/subscription.go
+++ b/shared/channel/subscription.go
@@ -7,7 +7,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 )
 
-// subscription is the queue of one subscriber to a topic.
+// subscription is the queue of one subscriber to one or several topics.
 type subscription struct {
 	ctx   context.Context
 	queue chan wire.Envelope
@@ -52,6 +52,7 @@
 func (s *subscription) dispatch(hub context.Context, e wire.Envelope) bool {
 	m := message.NewMessage(e.Id, e.Payload)
 	m.Metadata.Set(metadataFrom, string(e.From))
+	m.Metadata.Set(metadataTopic, e.Topic)
 	m.SetContext(s.ctx)
 	select {
 	case s.out <- m:
