Apply ready states of endpoints before the others

The directory replaced the states of its endpoints one by one in the order of the list, and published new endpoints last. If one engine became ready as another no longer was, a request in between could find none, and was refused or forwarded. States that are ready, and the new view, now come first.

This is found by reading; that it refused a request in a run is not shown.

TestChangeOfReadyEndpointLeavesNoGap failed before in two of its three cases and passes now. go test -race -count=1 of shared/endpoint, shared/queue, entry/answer and entry/peer passed.

--- a/shared/endpoint/directory.go
+++ b/shared/endpoint/directory.go
@@ -134,6 +134,8 @@
 	return a.Sequence > b.Sequence
 }
 
+// rebuildView replaces the view. Endpoints that are now ready change before those that no longer are, so that readers meanwhile do not
+// find fewer usable endpoints than before and afterwards.
 func (d *Directory) rebuildView() {
 	old := d.view.Load()
 	v := &View{
@@ -141,8 +143,14 @@
 		services: map[wire.ServiceName][]*Endpoint{},
 		all:      map[wire.EndpointId]*Endpoint{},
 	}
+	var unready []wire.EndpointState
 	for _, state := range d.states.Endpoints {
 		e := d.reuseOrCreate(old, state)
+		if e.state.Load() == nil || state.Phase == wire.EndpointPhaseReady {
+			e.setState(state)
+		} else {
+			unready = append(unready, state)
+		}
 		v.all[state.Endpoint] = e
 		if state.Model != "" {
 			v.models[state.Model] = append(v.models[state.Model], e)
@@ -151,16 +159,18 @@
 			v.services[state.Service] = append(v.services[state.Service], e)
 		}
 	}
+	d.view.Store(v)
+	for _, state := range unready {
+		v.all[state.Endpoint].setState(state)
+	}
 	for id, e := range old.all {
 		if _, listed := v.all[id]; !listed {
 			e.closed.Store(true)
 		}
 	}
-	d.view.Store(v)
 }
 
-// reuseOrCreate returns the endpoint of the old view with its new state, or a new endpoint if the old view has none at that
-// address.
+// reuseOrCreate returns the endpoint of the old view, or a new one without a state if the old view has none at that address.
 func (d *Directory) reuseOrCreate(old *View, state wire.EndpointState) *Endpoint {
 	e, found := old.all[state.Endpoint]
 	if !found || e.State().Address != state.Address {
@@ -171,9 +181,6 @@
 		limit = defaultMaxInFlight
 	}
 	e.limit.Store(int64(limit))
-	if previous := e.state.Swap(&state); previous != nil && previous.ModelVersion != state.ModelVersion {
-		e.cache.reset()
-	}
 	return e
 }
 
--- a/shared/endpoint/directory_test.go
+++ b/shared/endpoint/directory_test.go
@@ -146,3 +146,35 @@
 		}
 	}
 }
+
+// TestChangeOfReadyEndpointLeavesNoGap guards against refused requests while newer states are applied in which another endpoint is ready
+// than before. A reader must find a usable endpoint at each moment, whichever of the two is listed first, and also if it is new.
+func TestChangeOfReadyEndpointLeavesNoGap(t *testing.T) {
+	loading := func(id wire.EndpointId) wire.EndpointState {
+		return wire.EndpointState{Endpoint: id, Model: "m", Phase: wire.EndpointPhaseLoading}
+	}
+	a, b := ready("a")[0], ready("b")[0]
+	for name, states := range map[string][2][]wire.EndpointState{
+		"first becomes ready":  {{loading("a"), b}, {a, loading("b")}},
+		"second becomes ready": {{a, loading("b")}, {loading("a"), b}},
+		"ready one is new":     {{a}, {loading("a"), b}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var d *endpoint.Directory
+			applied := false
+			// The directory asks for the limit of each endpoint while it applies states.
+			d = endpoint.NewDirectory(endpoint.WithLimits(func(wire.EndpointKindName) int {
+				if applied && endpoint.CountEligible(d.View().Model("m"), endpoint.Need{}) == 0 {
+					t.Error("no endpoint is usable while states are applied")
+				}
+				return 1
+			}))
+			d.Apply(wire.EndpointStates{Epoch: 1, Sequence: 1, Endpoints: states[0]})
+			applied = true
+			d.Apply(wire.EndpointStates{Epoch: 1, Sequence: 2, Endpoints: states[1]})
+			if n := endpoint.CountEligible(d.View().Model("m"), endpoint.Need{}); n != 1 {
+				t.Errorf("%d endpoints are usable afterwards, want 1", n)
+			}
+		})
+	}
+}
--- a/shared/endpoint/endpoint.go
+++ b/shared/endpoint/endpoint.go
@@ -44,6 +44,13 @@
 	return *e.state.Load()
 }
 
+// setState replaces the endpoint's state. A new version of the model leaves nothing in its prefix cache.
+func (e *Endpoint) setState(state wire.EndpointState) {
+	if previous := e.state.Swap(&state); previous != nil && previous.ModelVersion != state.ModelVersion {
+		e.cache.reset()
+	}
+}
+
 // InFlight counts this entry's requests at the endpoint.
 func (e *Endpoint) InFlight() int {
 	return int(e.inFlight.Load())
