Await the engines' states before a new holder's first announcement

A new lease holder knows no engine's state. One that missed the first poll, for example on a busy machine, was announced as loading, and the entries stopped using it until the next tick. If the others were out of service, an entry without a peer in another domain refused requests.

A new holder now holds back its first states, and the drains that follow them, until each engine that is not leaving has answered, for two order timeouts at most. Entries keep the last holder's states meanwhile. After that, a silent engine is announced as loading, as before.

--- a/entry/domain/announce.go
+++ b/entry/domain/announce.go
@@ -14,15 +14,21 @@
 	}
 }
 
+// awaitedPolls is how many polls without an answer a new holder allows an engine before it announces the engine as loading.
+const awaitedPolls = 2
+
 // announce sends all entries what has changed, and the newly linked entries the whole state. Each time
 // it also sends the drain of every pending order that is written to the table, which the entries answer with their present number of
-// requests in flight.
+// requests in flight. No drain is sent before the states that it follows.
 func (w *Worker) announce(linked []wire.InstanceName) {
 	w.announceStates()
 	w.announceDocument()
 	for _, name := range linked {
 		w.sendState(name)
 	}
+	if w.awaitsStates() {
+		return
+	}
 	for _, row := range w.book.PendingWritten() {
 		if row.Endpoint != "" {
 			w.send("", topicDrainBegin, wire.DrainBegin{Order: row.Order, Endpoint: row.Endpoint, Epoch: w.links.epoch})
@@ -33,7 +39,7 @@
 // announceStates sends all entries the endpoints' states if they changed. It does nothing until the orders, the list of
 // endpoints and the document have been read.
 func (w *Worker) announceStates() {
-	if !w.book.Loaded() || w.endpoints == nil || w.accepted.document == nil {
+	if !w.book.Loaded() || w.endpoints == nil || w.accepted.document == nil || w.awaitsStates() {
 		return
 	}
 	states := fleet.States(w.fleetView(w.latestStates))
@@ -45,6 +51,15 @@
 	w.send("", topicEndpointStates, w.endpointStates())
 }
 
+// awaitsStates reports whether a new holder holds back its first announcement, as an engine has not reported its state yet. Such an engine
+// would be announced as loading, and the entries would stop using it; until then they keep the states of the holder before.
+func (w *Worker) awaitsStates() bool {
+	if w.sequence > 0 || w.accepted.document == nil || w.clock.Since(w.heldSince) >= awaitedPolls*w.cfg.OrderTimeout {
+		return false
+	}
+	return !fleet.AllReported(w.fleetView(w.latestStates))
+}
+
 // endpointStates returns the last announced states as a message.
 func (w *Worker) endpointStates() wire.EndpointStates {
 	return wire.EndpointStates{
--- a/entry/domain/worker.go
+++ b/entry/domain/worker.go
@@ -45,6 +45,8 @@
 	// The fields below are reset or read again with each epoch of the lease.
 
 	links *links // nil while the lease is not held
+	// heldSince is when the links were opened.
+	heldSince time.Time
 	// sequence is the number of the last announcement of states, and announcedStates its content.
 	sequence        int
 	announcedStates []wire.EndpointState
@@ -119,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	w.links = l
+	w.links, w.heldSince = l, w.clock.Now()
 	w.sequence, w.announcedStates, w.notifiedVersion = 0, nil, 0
 	w.endpoints, w.listedNow = nil, false
 	w.latestStates = map[wire.EndpointId]wire.EngineState{}
--- a/entry/domain/worker_test.go
+++ b/entry/domain/worker_test.go
@@ -51,6 +51,8 @@
 	endpoints wire.EndpointList
 	engines   map[wire.EndpointId]*wire.EngineState
 	orders    []wire.EngineOrder
+	// silent is the engine that does not answer polls.
+	silent wire.EndpointId
 }
 
 // lockedJSON returns a handler that decodes a JSON body, calls do under the domain's lock and encodes the result.
@@ -99,7 +101,12 @@
 func (f *fakeDomain) addEngine(t *testing.T, id wire.EndpointId) {
 	state := &wire.EngineState{Endpoint: id, Model: "m", ModelVersion: "1"}
 	mux := http.NewServeMux()
-	mux.Handle("GET /state", lockedJSON(f, func(struct{}) wire.EngineState { return *state }))
+	mux.Handle("GET /state", lockedJSON(f, func(struct{}) wire.EngineState {
+		if f.silent == id {
+			return wire.EngineState{}
+		}
+		return *state
+	}))
 	mux.Handle("POST /orders", lockedJSON(f, func(o wire.EngineOrder) wire.EngineOrderAnswer {
 		f.orders = append(f.orders, o)
 		state.ModelVersion, state.LastOrder, state.LastOrderDone = o.ModelVersion, o.Order, true
--- a/shared/fleet/state.go
+++ b/shared/fleet/state.go
@@ -17,6 +17,18 @@
 	return states
 }
 
+// AllReported reports whether each engine that is not leaving has reported a state.
+func AllReported(v View) bool {
+	for _, e := range v.Endpoints {
+		kind, _ := v.kind(e.Kind)
+		_, found := v.States[e.Endpoint]
+		if !found && !e.Leaving && kind.Serves != document.ServesService {
+			return false
+		}
+	}
+	return true
+}
+
 func (v *View) endpointState(e wire.EndpointRecord) wire.EndpointState {
 	kind, _ := v.kind(e.Kind)
 	engine, found := v.States[e.Endpoint]
