Bound the tokens that a prompt counts for in an engine's load

Callers state the token counts, and a negative or huge one went into the load of an engine and from there into the reports to the peers. A prompt now counts for at most 2^20 tokens. TestFalseTokenCountsAreBounded was red before; go test ./serving/placement passed.

--- a/serving/placement/allocations_test.go
+++ b/serving/placement/allocations_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"math"
 	"fmt"
 	"testing"
 
@@ -48,3 +49,15 @@
 		}
 	}
 }
+
+// TestFalseTokenCountsAreBounded guards against callers whose false token counts make an engine look busy to all instances.
+func TestFalseTokenCountsAreBounded(t *testing.T) {
+	for _, tokens := range []int{-1, math.MinInt, 1 << 40, math.MaxInt} {
+		p := placement.NewPrompt(tokens, 1, []placement.Part{{Name: "a", Tokens: -tokens}, {Name: "b", Tokens: tokens}})
+		for cached := range 3 {
+			if n := p.UncachedTokens(cached); n < 0 || n > 1<<20 {
+				t.Errorf("%d tokens with %d cached parts count as %d", tokens, cached, n)
+			}
+		}
+	}
+}
--- a/serving/placement/prompt.go
+++ b/serving/placement/prompt.go
@@ -73,11 +73,16 @@
 	return names
 }
 
-// UncachedTokens returns how many tokens of the prompt an endpoint has to prefill if it has the first cached parts in its KV cache.
+// maxPromptTokens bounds the tokens that a prompt counts for in the load of an engine. Callers state the counts, and a false one must not make
+// an engine look busy for ever.
+const maxPromptTokens = 1 << 20
+
+// UncachedTokens returns how many tokens of the prompt an endpoint has to prefill if it has the first cached parts in its KV cache, at most
+// maxPromptTokens.
 func (p *Prompt) UncachedTokens(cached int) int {
 	n := p.Tokens
 	for _, part := range p.Parts[:cached] {
 		n -= part.Tokens
 	}
-	return max(n, 0)
+	return min(max(n, 0), maxPromptTokens)
 }
