--- a/shared/heads/heads_test.go
+++ b/shared/heads/heads_test.go
@@ -200,7 +200,9 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	encode := func(heads.Refusal) []byte { return []byte("HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n") }
+	encode := func(heads.Refusal) []byte {
+		return []byte("HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}
 	limits := func() heads.Limits { return heads.Limits{MaxBytes: maxHead, Timeout: headTimeout} }
 	guarded := heads.New(1<<30, 1, encode, func(heads.Refusal) {}).Guard(&http.Server{}, 1, limits)(l)
 	s := &testServer{t: t, address: l.Addr().String()}
