--- a/serving/placement/allocations_test.go
+++ b/serving/placement/allocations_test.go
@@ -1,8 +1,8 @@
 package placement_test
 
 import (
-	"math"
 	"fmt"
+	"math"
 	"testing"
 
 	"cowslipshunt.example/serving/placement"
