--- a/router/logger.go
+++ b/router/logger.go
@@ -157,9 +157,14 @@
 	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Int("Peers", peers).Bool("Avoided", avoided).Msg("EndpointSuspected")
 }
 
-// logSpeed logs that the learned speed of an engine has changed, by a sample of a peer unless from is empty.
+// logSpeed logs that the learned speed of an engine has changed, by a sample of a peer unless from is empty. Those of peers have a line at each
+// peer, so that they are logged at the level debug here: with 79 instances they were most of all lines.
 func (d decisionLog) logSpeed(e *roster.Endpoint, from wire.InstanceName) {
-	d.logger.Info().Str("Endpoint", string(e.Entry().ID)).Float64("Speed", e.Speed(time.Now())).Str("Peer", string(from)).Msg("EndpointSpeed")
+	entry := d.logger.Info()
+	if from != "" {
+		entry = d.logger.Debug()
+	}
+	entry.Str("Endpoint", string(e.Entry().ID)).Float64("Speed", e.Speed(time.Now())).Str("Peer", string(from)).Msg("EndpointSpeed")
 }
 
 // logQuarantine logs and counts a change of the prompt parts that are in quarantine.
