Name the two kinds of overflow apart

Both the choice of any engine for a prefix in great demand and the prefill at a decode engine were called overflow. The first now widens the choice. No behaviour changes; go test ./serving/placement passed.

--- a/serving/placement/spread.go
+++ b/serving/placement/spread.go
@@ -27,12 +27,12 @@
 	cachedRankReads = 0.05
 	// noiseReads is the mean of the random noise, in the same unit. It keeps instances with the same reports from choosing the same engine.
 	noiseReads = 0.5
-	// overflowMillis is the least cost of all candidates beyond which one of overflowShare prompts may go to any other engine. That engine then
+	// widenMillis is the least cost of all candidates beyond which one of widenShare prompts may go to any other engine in the same stage. That engine then
 	// counts as a candidate while it has the shared parts cached, so that a prefix gets as many engines as it needs, a few at a time.
-	overflowMillis = 400.0
-	overflowShare  = 32
-	// overflowNoise is the mean of the noise among these engines, as a multiple of that among candidates.
-	overflowNoise = 4
+	widenMillis = 400.0
+	widenShare  = 32
+	// widenNoise is the mean of the noise among these engines, as a multiple of that among candidates.
+	widenNoise = 4
 	// sampledNear and sampledFar are how many decode engines are considered in the failure domain of the KV cache and in others. With reports that are
 	// older than most requests last, more than two make all instances choose the same engines.
 	sampledNear = 2
@@ -139,10 +139,10 @@
 			best, bestCost = e, cost
 		}
 	}
-	if bestCost <= overflowMillis || need.TieBreak%overflowShare != 0 {
+	if bestCost <= widenMillis || need.TieBreak%widenShare != 0 {
 		return best
 	}
-	c.noise *= overflowNoise
+	c.noise *= widenNoise
 	for _, e := range eligible {
 		parts := e.CachedParts(p.IDs, now)
 		if c.cached(parts) || first.rank(e) < candidates {
