--- a/review/6/drill/main.go
+++ b/review/6/drill/main.go
@@ -113,6 +113,17 @@
 	rec.note("SIGKILL %s", r.name)
 }
 
+// stop ends the process gracefully, as planned work does.
+func (r *router) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.cmd.Process.Signal(syscall.SIGTERM)
+	rec.note("SIGTERM %s", r.name)
+	err := r.cmd.Wait()
+	r.cmd = nil
+	rec.note("%s has ended: %v", r.name, err)
+}
+
 // freePort returns a port that is free for TCP and UDP at an address.
 func freePort(ip string) string {
 	for range 100 {
@@ -271,7 +282,7 @@
 	binary := flag.String("router", "target/router", "program")
 	out := flag.String("record", "record.txt", "record")
 	logs := flag.String("logs", "", "folder of the processes' logs; empty for a temporary one")
-	trouble := flag.String("trouble", "1", "0: none; 1: kill and restore; kill, restore: only one of them")
+	trouble := flag.String("trouble", "1", "0: none; 1: kill and restore; kill, restore: only one of them; stop: graceful stops and restore")
 	flag.Parse()
 	file, err := os.Create(*out)
 	if err != nil {
@@ -331,7 +342,15 @@
 	counts, _ := c.reported(w)
 	rec.note("window %d is reported: %v", w, counts)
 
-	restore, kill := *trouble == "1" || *trouble == "restore", *trouble == "1" || *trouble == "kill"
+	restore, kill := *trouble == "1" || *trouble == "restore" || *trouble == "stop", *trouble == "1" || *trouble == "kill"
+	graceful := *trouble == "stop"
+	if graceful {
+		var stops sync.WaitGroup
+		for _, r := range routers {
+			stops.Go(r.stop)
+		}
+		stops.Wait()
+	}
 	if restore {
 		rec.note("the store is away")
 		store.Fail(http.StatusServiceUnavailable)
@@ -353,7 +372,7 @@
 		rec.note("the store is back from the copy, which is %.1f s old, with Store-Era 1", time.Since(copied).Seconds())
 	}
 	time.Sleep(restartDelay - away)
-	if kill {
+	if kill || graceful {
 		for _, r := range routers {
 			r.start()
 		}
