Add review case 7: a kill of all routers loses the quarantine

A prompt part crashes replicas, and all routers are killed once. Rule: BUDGET, prompt parts that crash replicas.

The build also makes the stand-ins of case 8.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,8 +3,11 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-for dir in review/[6-9]/*/ review/10/*/; do
-  [ -f "${dir}main.go" ] || continue
-  case=${dir#review/}
-  go build -o "target/review-$(echo "${case%/}" | tr / -)" "$dir"*.go
-done
+go build -o target/review-6-drill review/6/drill/*.go
+# Cases 7 and 8 use the stand-ins of the earlier review. Go builds files of one folder only.
+src=target/review-2-source
+rm -rf "$src"
+mkdir -p "$src"
+cp -R review/harness/. review/7/herd.go "$src"
+go build -o target/review-2-harness "$src"/*.go
+rm -rf "$src"
