Play review case 6 with a rolling restart in place of kills

Case: review/6. It now needs one disruption, the restored store, after planned work: both routers are stopped and started in turn. Kills in place of the restart stay as TROUBLE=kill.

--- a/review/6/drill/main.go
+++ b/review/6/drill/main.go
@@ -1,5 +1,5 @@
-// Command drill plays a restore of the store from a copy while all processes of the system are killed, and checks that the platform accepts
-// no two usage reports with different counts for one window.
+// Command drill plays a restore of the store from a copy right after a rolling restart of the system, or while all its processes are killed, and
+// checks that the platform accepts no two usage reports with different counts for one window.
 package main
 
 import (
@@ -29,9 +29,11 @@
 	requestEvery = 100 * time.Millisecond
 	// copyBefore is how long before the end of the window the copy of the store is made.
 	copyBefore = 1500 * time.Millisecond
-	// away is how long the store does not answer, and restartDelay how long a killed process stays down.
-	away         = 500 * time.Millisecond
-	restartDelay = time.Second
+	// away is how long the store does not answer, and restartDelay how long a process that has ended stays down.
+	away         = time.Second
+	restartDelay = 500 * time.Millisecond
+	// rollGap is the time between the stops of two machines, that of the site's roll_term.
+	rollGap = 1300 * time.Millisecond
 )
 
 // tb lets the stand-ins of package platformtest run outside of a test.
@@ -282,7 +284,7 @@
 	binary := flag.String("router", "target/router", "program")
 	out := flag.String("record", "record.txt", "record")
 	logs := flag.String("logs", "", "folder of the processes' logs; empty for a temporary one")
-	trouble := flag.String("trouble", "1", "0: none; 1: kill and restore; kill, restore: only one of them; stop: graceful stops and restore")
+	trouble := flag.String("trouble", "1", "1: rolling restart and restore; 0: rolling restart only; kill: kill and restore; kill-only; restore: restore only")
 	flag.Parse()
 	file, err := os.Create(*out)
 	if err != nil {
@@ -342,26 +344,24 @@
 	counts, _ := c.reported(w)
 	rec.note("window %d is reported: %v", w, counts)
 
-	restore, kill := *trouble == "1" || *trouble == "restore" || *trouble == "stop", *trouble == "1" || *trouble == "kill"
-	graceful := *trouble == "stop"
-	if graceful {
-		var stops sync.WaitGroup
+	restore := *trouble == "1" || *trouble == "kill" || *trouble == "restore"
+	var restarts sync.WaitGroup
+	switch *trouble {
+	case "0", "1":
+		roll(&restarts)
+	case "kill", "kill-only":
 		for _, r := range routers {
-			stops.Go(r.stop)
+			r.kill()
+			restarts.Go(func() {
+				time.Sleep(restartDelay)
+				r.start()
+			})
 		}
-		stops.Wait()
 	}
 	if restore {
 		rec.note("the store is away")
 		store.Fail(http.StatusServiceUnavailable)
-	}
-	if kill {
-		for _, r := range routers {
-			r.kill()
-		}
-	}
-	time.Sleep(away)
-	if restore {
+		time.Sleep(away)
 		beating.Lock()
 		store.Restore(backup)
 		// What the operator and the replicas wrote is written again.
@@ -371,12 +371,7 @@
 		beating.Unlock()
 		rec.note("the store is back from the copy, which is %.1f s old, with Store-Era 1", time.Since(copied).Seconds())
 	}
-	time.Sleep(restartDelay - away)
-	if kill || graceful {
-		for _, r := range routers {
-			r.start()
-		}
-	}
+	restarts.Wait()
 	await(c, w+4, 60*time.Second)
 	time.Sleep(2 * time.Second)
 	close(stop)
@@ -394,6 +389,24 @@
 	finish(0)
 }
 
+// roll stops the processes in turn, as planned work does, and returns once the last one has ended. Each is started again after a short delay.
+func roll(restarts *sync.WaitGroup) {
+	var stops sync.WaitGroup
+	for i, r := range routers {
+		if i > 0 {
+			time.Sleep(rollGap)
+		}
+		stops.Add(1)
+		restarts.Go(func() {
+			r.stop()
+			stops.Done()
+			time.Sleep(restartDelay)
+			r.start()
+		})
+	}
+	stops.Wait()
+}
+
 // await waits until a window, or a later one, is reported.
 func await(c *cloud, w int, limit time.Duration) {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
