Tell how long no other process can have a settled tenure of a lease

Cause: whoever wants to know what was done under a lease before the store was restored needs a time until which nobody else can have done it. The belief that the lease is held ends earlier, and a process that lost it in a short outage could not acquire it again for a term in the new era.

Change: Keeper.Tenure has the time until another process may have a settled tenure, the time of the last renewal and whether the own tenure is settled; it goes on over an era if the process is the first to acquire the lease in it. Release moves to a file of its own.

--- a/shared/lease/belief.go
+++ b/shared/lease/belief.go
@@ -85,7 +85,10 @@
 	k.epoch = a.row.Epoch
 	k.revision = revision
 	k.heldEra = k.era
-	k.renewed = a.sent
+	k.renewed, k.unclaimed = a.sent, a.sent
+	if a.tenure != nil {
+		k.tenure = *a.tenure
+	}
 }
 
 func (k *Keeper) markNotHeld() {
--- a/shared/lease/clock.go
+++ b/shared/lease/clock.go
@@ -52,3 +52,8 @@
 func (r clockReading) elapsedSince(earlier clockReading) time.Duration {
 	return max(r.monotonic-earlier.monotonic, r.wall.Sub(earlier.wall))
 }
+
+// leastSince returns the time since an earlier reading, by the clock that advanced less.
+func (r clockReading) leastSince(earlier clockReading) time.Duration {
+	return min(r.monotonic-earlier.monotonic, r.wall.Sub(earlier.wall))
+}
--- a/shared/lease/keeper.go
+++ b/shared/lease/keeper.go
@@ -58,6 +58,8 @@
 type attempt struct {
 	row  wire.LeaseRow
 	sent clockReading
+	// tenure is the tenure that the write starts, or nil.
+	tenure *tenureStart
 }
 
 // foreignRow is a row that another process wrote, and this process's monotonic time when it first read the row in this state.
@@ -103,6 +105,11 @@
 	renewed  clockReading
 	// heldEra is the era of the row that was written last.
 	heldEra era.Era
+	tenure  tenureStart
+	// unclaimed is the last time at which nobody else had acquired the lease.
+	unclaimed clockReading
+	// release is when the release that took effect was sent, nil if there was none.
+	release *clockReading
 }
 
 // NewKeeper returns a Keeper that does not hold the lease yet.
@@ -157,6 +164,7 @@
 	if k.current != nil {
 		return nil
 	}
+	sent := readClocks(k.clock)
 	rows, err := k.table.Read(ctx, TableName, k.key())
 	if err != nil {
 		return err
@@ -170,6 +178,9 @@
 		return err
 	}
 	k.applyRow(s)
+	if s.revision == 0 {
+		k.noteUnclaimed(sent)
+	}
 	return nil
 }
 
@@ -224,6 +235,7 @@
 	revision := k.current.revision
 	k.current = nil
 	k.attempt = &attempt{row: row, sent: readClocks(k.clock)}
+	k.attempt.tenure = k.newTenure(*k.attempt, revision)
 	answer, err := k.write(ctx, row, revision)
 	if k.ObserveEra() {
 		// The row may have been written to the table of the new era, in which it is no lease.
@@ -262,28 +274,3 @@
 func (k *Keeper) revisionCheck(revision wire.Revision) wire.Check {
 	return wire.Check{Table: TableName, Key: k.key(), Revision: revision}
 }
-
-// Release releases the lease for good, so that another process need not wait for it to expire. The caller must have no order
-// in flight. Later calls of Step do nothing.
-func (k *Keeper) Release(ctx context.Context) error {
-	k.ObserveEra()
-	k.mu.Lock()
-	held, epoch, revision := k.held && k.heldEra == k.era, k.epoch, k.revision
-	k.held, k.released = false, true
-	k.mu.Unlock()
-	if !held {
-		return nil
-	}
-	row := wire.LeaseRow{
-		Lease:      k.name,
-		Epoch:      epoch,
-		Renewal:    k.renewal + 1,
-		TermMillis: int(k.term.Milliseconds()),
-		Recent:     append([]wire.InstanceName{k.self.Instance}, k.recentHolders...),
-	}
-	answer, err := k.write(ctx, row, revision)
-	if err == nil && !answer.Committed {
-		return ErrNotHeld
-	}
-	return err
-}
--- a/shared/lease/keeper_test.go
+++ b/shared/lease/keeper_test.go
@@ -153,11 +153,26 @@
 			m.checkTurns(m.instances[i])
 		}
 	}
+	m.checkTenures()
 	if holders > 1 {
 		m.t.Fatalf("%d keepers believe that they hold the lease", holders)
 	}
 }
 
+// checkTenures checks that no other keeper has a settled tenure while that of one has time left.
+func (m *leaseModel) checkTenures() {
+	for i, k := range m.keepers {
+		if m.clocks[i].paused || k.Tenure().Left <= 0 {
+			continue
+		}
+		for j, other := range m.keepers {
+			if i != j && other.Belief().Holds && other.Tenure().Settled {
+				m.t.Fatalf("keeper %d has a settled tenure while keeper %d has %v left", j, i, k.Tenure().Left)
+			}
+		}
+	}
+}
+
 // checkTurns checks that the instance that holds the lease now did not hold it within a term before another one did.
 func (m *leaseModel) checkTurns(holder wire.InstanceName) {
 	held, ok := m.lastHeld[holder]
--- a/shared/lease/restored.go
+++ b/shared/lease/restored.go
@@ -31,13 +31,14 @@
 	if e == k.era {
 		return false
 	}
+	k.endTenure()
 	k.era, k.eraSince = e, k.clock.Monotonic()
 	k.current, k.foreign, k.attempt, k.recentHolders = nil, nil, nil, nil
 	return true
 }
 
-// maySucceedEarlierEra reports whether this process may write the first row of an era: it holds the lease of the earlier era, or nobody can
-// believe any more to hold it.
+// maySucceedEarlierEra reports whether this process may write the first row of an era: nobody else can hold the lease of the earlier era, or
+// nobody at all can believe any more to hold it.
 func (k *Keeper) maySucceedEarlierEra() bool {
-	return k.era == 0 || k.Belief().Holds || k.clock.Monotonic()-k.eraSince > k.term+k.orderTimeout
+	return k.era == 0 || k.isExclusive() || k.clock.Monotonic()-k.eraSince > k.term+k.orderTimeout
 }
