Freeze a window of a restored store only if nobody can have reported it

Both routers are restarted in turn, the store comes back from a copy that is 8 s old, and a window that the platform had accepted with 100 requests is reported again with 48 under a higher fencing token.

Cause: Reporter.load took a window without a row as one that was never reported. The row is in the store, which may lose it; what stood in for it was in the memory of processes that ran at that time, and neither a stop nor a start handed it on.

Change: in an era above 0 a window is frozen only if it ends after the holder learned of the era, if one before it was frozen in this era, or if it is cleared: the holder pledges to four witnesses not to report a window before they have a copy, and one that learns of a restore before the pledge has ended tells all others which windows were not reported, as does a holder that still holds the lease (package clearance). Other windows are withheld, logged and counted. Copies and clearances go to instances that start, and on from those that stop. A copy of an era before the last one is written only if its window was reported, and is replaced by a stored row that differs. A store without eras: no message, no wait.

Why this works: clearance follows from a process that ran before the restore and from the order of lease and report; it is absent where no such process is left, and the window is then missing, not reported twice.

--- a/router/duties.go
+++ b/router/duties.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cowslipshunt.example/platform"
+	"cowslipshunt.example/serving/clearance"
 	"cowslipshunt.example/serving/fleet"
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
@@ -18,6 +19,7 @@
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/link"
 	"cowslipshunt.example/wire"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 )
 
@@ -70,6 +72,8 @@
 	keeper        *lease.Keeper
 	client        *platform.DutyClient
 	usageReporter *metering.Reporter
+	// ledger is the evidence of usageReporter.
+	ledger *clearance.Ledger
 
 	// holdsLease is set if the lease was held at the last step.
 	holdsLease bool
@@ -98,9 +102,12 @@
 		started:     time.Now(),
 	}
 	freezeDelay := bounds.UsageDue * freezeTenths / 10
+	ledger := clearance.NewLedger(keeper, deps.peers.witness, settings.PeerAddress)
+	d.ledger = ledger
+	deps.peers.ledger.Store(ledger)
 	reportBounds := metering.Bounds{FreezeDelay: freezeDelay, GoneTimeout: goneFactor * freezeDelay}
-	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts), metering.WithMalformed(d.logMalformedUsage()),
-		metering.WithRestores(metering.Restores{Era: deps.store.Era, MayRestore: deps.store.GivesEra, Copies: deps.peers.restores.copies, Share: deps.peers.sendFrozen}))
+	d.usageReporter = metering.NewReporter(deps.store, keeper, d, deps.counter, reportBounds, metering.WithLate(d.logLateCounts), metering.WithMalformed(d.logMalformedUsage()), metering.WithWithheld(d.logWithheld, d.logWithheldCounts),
+		metering.WithRestores(metering.Restores{Era: deps.store.Era, MayRestore: deps.store.GivesEra, Copies: deps.peers.restores.copies, Share: deps.peers.sendFrozen, Evidence: ledger}))
 	return d
 }
 
@@ -117,6 +124,7 @@
 			if err := d.keeper.Release(releaseCtx); err != nil {
 				d.logger.Warn().Str("Lease", string(dutyLease)).Err(err).Msg("LeaseNotReleased")
 			}
+			d.ledger.PledgeAtRelease()
 			return
 		case <-ticker.C:
 		}
@@ -191,6 +199,21 @@
 	return func(table, key string, err error) { rejected[table].add(key, 0, err) }
 }
 
+// logWithheld logs and counts usage windows that are not reported, as they may have been before the store was restored.
+func (d *duties) logWithheld(x metering.Withheld) {
+	metrics.GetOrCreateCounter("router_usage_windows_withheld_total").Add(int(x.Last-x.First) + 1)
+	d.logger.Error().Int64("FirstWindow", int64(x.First)).Int64("LastWindow", int64(x.Last)).Int("Era", int(x.Era)).Bool("ClearedByPeers", x.FromPeers).
+		Int("Peers", len(d.peers.addresses())).Str("Reason", "no running instance knows that they were not reported before the store was restored").Msg("UsageWindowsWithheld")
+}
+
+// logWithheldCounts logs counts of a usage window that is not reported, so that they can be compared with what the platform has.
+func (d *duties) logWithheldCounts(w metering.Window, counts metering.Counts) {
+	for workspace, n := range counts {
+		d.logger.Error().Int64("Window", int64(w)).Str("Workspace", string(workspace)).Int("Requests", n).
+			Str("Reason", "the window may have been reported before the store was restored").Msg("UsageNotReported")
+	}
+}
+
 // logLateCounts logs counts that arrived too late for their window's report, so that they can be billed by hand.
 func (d *duties) logLateCounts(w metering.Window, counts metering.Counts) {
 	for workspace, n := range counts {
--- a/router/peers.go
+++ b/router/peers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowslipshunt.example/serving/clearance"
 	"cowslipshunt.example/serving/membership"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/serving/peerload"
@@ -16,6 +17,7 @@
 	"cowslipshunt.example/serving/replication"
 	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/shared/lease"
+	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
@@ -56,7 +58,12 @@
 	// Era is the era of the store that the sender of a report knows, or in which the store has a frozen window.
 	Era era.Era `cbor:"10,keyasint,omitempty"`
 	// Speeds belong to the report, too.
-	Speeds []peerload.Speed `cbor:"11,keyasint,omitempty"`
+	Speeds    []peerload.Speed     `cbor:"11,keyasint,omitempty"`
+	Pledge    *clearance.Pledge    `cbor:"12,keyasint,omitempty"`
+	Receipt   *clearance.Receipt   `cbor:"13,keyasint,omitempty"`
+	Clearance *clearance.Clearance `cbor:"14,keyasint,omitempty"`
+	// Holder is the address to which the receipt of a frozen window is sent.
+	Holder string `cbor:"15,keyasint,omitempty"`
 }
 
 // peers exchanges load reports and hand-offs of usage counts with the other instances, over UDP.
@@ -68,6 +75,10 @@
 	// quarantine is shared with the peers.
 	quarantine *quarantine.Table
 	handoffs   *metering.Handoffs
+	// address is where this instance receives datagrams.
+	address string
+	// witness keeps the pledges of the lease holder.
+	witness *clearance.Witness
 	// restores is what is shared about restores of the store.
 	restores *restores
 	// agreedNow returns the time that all instances agree on. The age of a hand-off is computed from it.
@@ -78,6 +89,8 @@
 
 	// quotas is nil until the instance serves quotas.
 	quotas atomic.Pointer[quotaRunner]
+	// ledger is nil until the duties are made.
+	ledger atomic.Pointer[clearance.Ledger]
 	// handoffTurns counts the calls of HandOff.
 	handoffTurns atomic.Int64
 
@@ -86,6 +99,8 @@
 	members []membership.Peer
 	// followers are nil until setFollowers is called.
 	followers *followers
+	// incarnations are those of which this instance has heard.
+	incarnations map[wire.InstanceName]wire.IncarnationId
 }
 
 // newPeers listens at a UDP address and exchanges reports with the peers until close is called.
@@ -99,7 +114,9 @@
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, restores: newRestores(), agreedNow: agreedNow, logger: logger, stop: stop}
+	p := &peers{self: self, conn: conn, reporter: reporter, peerLoads: peerLoads, quarantine: q, handoffs: handoffs, restores: newRestores(), agreedNow: agreedNow, logger: logger, stop: stop,
+		address: address, incarnations: map[wire.InstanceName]wire.IncarnationId{}}
+	p.witness = clearance.NewWitness(clockFunc(agreedNow), p, clearance.WithObserver(p.logCleared))
 	go p.receiveLoop(ctx)
 	go p.reportLoop(ctx)
 	return p, nil
@@ -178,6 +195,7 @@
 		m.Report.Leaving, m.Report.Speeds = m.Leaving, m.Speeds
 		p.peerLoads.Apply(*m.Report, time.Now())
 		p.handoffs.SetIncarnation(m.Report.From, m.Report.Incarnation)
+		p.noteIncarnation(m.Report.From, m.Report.Incarnation, m.Report.Address)
 	}
 	if m.Handoff != nil {
 		p.handoffs.Keep(*m.Handoff, p.agreedNow())
@@ -188,9 +206,7 @@
 	if q := p.quotas.Load(); q != nil && m.Quota != nil {
 		q.receive(m.Quota)
 	}
-	if m.Frozen != nil {
-		p.restores.copies.Keep(*m.Frozen, m.Era, p.agreedNow())
-	}
+	p.receiveClearance(&m)
 	f := p.tableFollowers()
 	if f != nil && m.Era > 0 {
 		f.peerKnowsEra(m.Era, p.restores)
--- a/router/restored_usage_test.go
+++ b/router/restored_usage_test.go
@@ -17,12 +17,7 @@
 func TestRestoredStoreReportsEveryRequestOnce(t *testing.T) {
 	x := startInstance(t, respondDone)
 	x.store.SetEra(0)
-	y := startInstance(t, respondDone, func(s string) string {
-		s = platformtest.Joining(s, "front-a-2", x.store.Address)
-		at := strings.Index(s, "cloud.address=")
-		end := at + strings.Index(s[at:], "\n")
-		return s[:at] + "cloud.address=" + x.duties.Address + s[end:]
-	})
+	y := startInstance(t, respondDone, x.beside("front-a-2"))
 	x.configure(1, "k")
 	x.listEndpoint("i-1", "ready")
 	served := 0
@@ -77,6 +72,79 @@
 	}
 }
 
+// beside returns an edit of the settings of another instance that has the same store and reports to the same platform.
+func (x *testInstance) beside(name string) func(settings string) string {
+	return func(s string) string {
+		s = platformtest.Joining(s, name, x.store.Address)
+		at := strings.Index(s, "cloud.address=")
+		end := at + strings.Index(s[at:], "\n")
+		return s[:at] + "cloud.address=" + x.duties.Address + s[end:]
+	}
+}
+
+// TestRollingRestartBesideRestoreReportsNoWindowTwice guards against a window that is reported again with lower counts: both instances were
+// restarted in turn after its report, and the store comes back from a copy without its frozen row and with a part of its counts.
+func TestRollingRestartBesideRestoreReportsNoWindowTwice(t *testing.T) {
+	const window, copyBefore, rollGap = 5 * time.Second, 1500 * time.Millisecond, 1300 * time.Millisecond
+	x := startInstance(t, respondDone)
+	x.store.SetEra(0)
+	names := []string{"front-a-1", "front-a-2"}
+	running := []*testInstance{x, startInstance(t, respondDone, x.beside(names[1]))}
+	x.configure(1, "k")
+	x.listEndpoint("i-1", "ready")
+	requests := 0
+	serveFor := func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); <-time.After(50 * time.Millisecond) {
+			for _, i := range running {
+				requests++
+				_, _ = i.post(fmt.Sprint("r", requests), "k")
+			}
+		}
+	}
+	serveUntil := func(what string, done func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(40 * time.Second); !done(); serveFor(100 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("timed out waiting for %s; the logs are:\n%s\n%s", what, running[0].log, running[1].log)
+			}
+		}
+	}
+	reported := func(w int) func() bool {
+		return func() bool {
+			_, known := reportedWindows(t, x.duties.Calls())[w]
+			return known
+		}
+	}
+	serveUntil("the first report", func() bool { return len(x.duties.Calls()) > 0 })
+	serveFor(2*window - time.Duration(time.Now().UnixNano())%window - copyBefore)
+	copied, backup := int(time.Now().UnixMilli()/window.Milliseconds()), x.store.Backup()
+	serveUntil("the report of the window of the copy", reported(copied))
+	stopped := make(chan int, len(running))
+	for n, i := range running {
+		if n > 0 {
+			<-time.After(rollGap)
+		}
+		i.stop()
+		go func() {
+			<-i.done
+			stopped <- n
+		}()
+	}
+	// The first instance starts again before the second one has ended.
+	first := <-stopped
+	running[first] = startInstance(t, respondDone, x.beside(names[first]))
+	second := <-stopped
+	x.store.Fail(http.StatusServiceUnavailable)
+	running[second] = startInstance(t, respondDone, x.beside(names[second]))
+	<-time.After(time.Second)
+	x.store.Restore(backup)
+	x.store.Fail(0)
+	x.configure(1, "k")
+	x.listEndpoint("i-1", "ready")
+	last := int(time.Now().UnixMilli()/window.Milliseconds()) + 2
+	serveUntil("the report of a later window", reported(last))
+}
+
 // reportedWindows returns the counts of each reported window. It fails the test if a window has two sets of them, or an epoch is lower than
 // an earlier one.
 func reportedWindows(t *testing.T, calls []platformtest.DutyCall) map[int]map[string]int {
--- a/router/restores.go
+++ b/router/restores.go
@@ -13,12 +13,11 @@
 	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 )
 
 const (
-	// frozenPeers is the number of peers that get copies of frozen usage windows, in as many failure domains as possible.
+	// frozenPeers is the number of peers that get pledges and copies of frozen usage windows, in as many failure domains as possible.
 	frozenPeers = 4
 	// eraClaimInterval is the shortest interval between calls to the store because a peer claims to know a later era. A wrong claim must not
 	// make an instance read its tables all the time.
@@ -72,23 +71,6 @@
 	f.endpoints.interrupt(reason)
 }
 
-// sendFrozen sends a copy of a usage window that was frozen in an era to peers in different failure domains. It does nothing while the store
-// gives no eras.
-func (p *peers) sendFrozen(f metering.Frozen, stored era.Era) {
-	store := p.restores.store.Load()
-	if store == nil || !store.GivesEra() {
-		return
-	}
-	data, err := cbor.Marshal(message{Frozen: &f, Era: stored})
-	if err != nil || len(data) > maxFrozenBytes {
-		p.logger.Error().Int64("Window", int64(f.Window)).Int("Bytes", len(data)).Err(err).Msg("UsageWindowNotCopied")
-		return
-	}
-	for _, peer := range membership.ChooseSpread(p.all(), string(p.self.Incarnation), frozenPeers) {
-		p.transmit(data, []string{peer.Address})
-	}
-}
-
 // onRestore makes everything that depends on the store's state notice a new era at once. The endpoints that the restored store does not
 // list have roster.LapseGrace to register again.
 func (n *node) onRestore(f *followers, renewMember func()) func(e era.Era) {
--- a/router/serve.go
+++ b/router/serve.go
@@ -157,6 +157,7 @@
 	}
 	n.callerHandler.stopping.Store(true)
 	logger.Info().Msg("Stopping")
+	n.handOver()
 	return n.shutDown()
 }
 
@@ -187,13 +188,18 @@
 	finalWrites.Go(func() { d.run(ctx) })
 	finalWrites.Go(func() { maintainMembership(ctx, registration, n.peers, renew, n.logger) })
 	usage := &usageWriter{
-		store: n.store, clock: n.agreedClock, counter: n.counter, liveInstances: n.liveInstances, logger: n.logger,
+		store: n.store, clock: n.agreedClock, counter: n.counter, liveInstances: n.liveInstances, handOver: n.handOver, logger: n.logger,
 		writer: metering.NewWriter(n.store, n.counter, n.handoffs, n.peers, n.self.Instance, n.self.Incarnation,
 			metering.WithEra(n.store.Era, n.store.GivesEra, n.peers.restores.copies)),
 	}
 	finalWrites.Go(func() { usage.run(ctx) })
 }
 
+// handOver sends the copies of frozen usage windows to the peers that are to keep them when this instance has stopped.
+func (n *node) handOver() {
+	n.peers.handOver(n.peers.Witnesses())
+}
+
 // liveInstances counts the live instances, this one included.
 func (n *node) liveInstances() int {
 	return len(n.peers.addresses()) + 1
--- a/router/usage.go
+++ b/router/usage.go
@@ -27,7 +27,9 @@
 	writer  *metering.Writer
 	// liveInstances counts the live instances, this one included.
 	liveInstances func() int
-	logger        *log.Logger
+	// handOver sends the copies of frozen windows to peers.
+	handOver func()
+	logger   *log.Logger
 
 	// era is the era of the store in which the base of the agreed time is known to be stored, 0 before the first check in a later one.
 	era era.Era
@@ -126,9 +128,10 @@
 	}
 }
 
-// close writes the counts for the last time, or hands them off to peers if the write fails. An instance that never
-// obtained the agreed time writes nothing, as its counts cannot be assigned to a window.
+// close writes the counts for the last time, or hands them off to peers if the write fails, and hands over the copies of frozen windows. An
+// instance that never obtained the agreed time writes nothing, as its counts cannot be assigned to a window.
 func (u *usageWriter) close() {
+	defer u.handOver()
 	if !u.clock.Agreed() {
 		return
 	}
--- a/serving/metering/frozen.go
+++ b/serving/metering/frozen.go
@@ -93,11 +93,11 @@
 	return &FrozenCopies{held: map[Window]heldFrozen{}}
 }
 
-// Keep keeps a copy of a window that the store has in an era. Of two copies of a window, one that was reported is kept, and otherwise the
-// one with the higher epoch. A malformed copy is ignored.
-func (c *FrozenCopies) Keep(f Frozen, stored era.Era, now time.Time) {
+// Keep keeps a copy of a window that the store has in an era, and reports whether it does. Of two copies of a window, one that was reported
+// is kept, and otherwise the one with the higher epoch. A malformed copy is ignored.
+func (c *FrozenCopies) Keep(f Frozen, stored era.Era, now time.Time) bool {
 	if !f.valid() || stored < 0 || stored > era.Max {
-		return
+		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -108,13 +108,36 @@
 	}
 	previous, known := c.held[f.Window]
 	if known && (previous.Reported && !f.Reported || previous.Reported == f.Reported && previous.Epoch > f.Epoch) || !known && len(c.held) >= maxFrozen {
-		return
+		return false
+	}
+	if known && previous.Epoch == f.Epoch {
+		stored = max(stored, previous.stored)
 	}
 	c.held[f.Window] = heldFrozen{Frozen: f, received: now, stored: stored}
+	return true
+}
+
+// StoredCopy is a copy of a frozen window and the highest era in which the store is known to have the window.
+type StoredCopy struct {
+	Frozen
+	Stored era.Era
+}
+
+// All returns the copies, by window, for an instance that has none.
+func (c *FrozenCopies) All(now time.Time) []StoredCopy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]StoredCopy, 0, len(c.held))
+	for _, w := range slices.Sorted(maps.Keys(c.held)) {
+		if x := c.held[w]; now.Sub(x.received) <= frozenLifetime {
+			list = append(list, StoredCopy{Frozen: x.Frozen, Stored: x.stored})
+		}
+	}
+	return list
 }
 
 // Restore writes the windows that the store may have lost by the restore to an era, unless it has them. It returns those that it wrote.
-// The writes are not fenced: the counts of a frozen window never change, whoever writes them.
+// The writes are not fenced: while the store has not lost a frozen window, its counts never change, whoever writes them.
 func (c *FrozenCopies) Restore(ctx context.Context, t Table, e era.Era, now time.Time) ([]Window, error) {
 	var written []Window
 	for _, f := range c.lost(e, now) {
@@ -133,18 +156,38 @@
 		if answer.Committed {
 			written = append(written, f.Window)
 		}
-		c.markStored(f.Window, era.Of(int(answer.Revision)))
+		stored := era.Of(int(answer.Revision))
+		c.markStored(f.Window, stored)
+		for _, conflict := range answer.Conflicts {
+			c.adopt(f, conflict, stored, now)
+		}
 	}
 	return written, nil
 }
 
-// lost returns the copies of windows that were stored in an earlier era than e, by window.
+// adopt replaces a copy by the stored row if that has other counts: the window was frozen anew in an era in which nobody had reported it.
+func (c *FrozenCopies) adopt(f Frozen, row wire.Row, stored era.Era, now time.Time) {
+	var w windowRow
+	if err := json.Unmarshal(row.Value, &w); err != nil || w.Window != f.Window || maps.Equal(w.Counts, f.Counts) {
+		return
+	}
+	x := copyOf(&w)
+	if !x.valid() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[f.Window] = heldFrozen{Frozen: x, received: now, stored: stored}
+}
+
+// lost returns the copies of windows that the store may have lost by the restore to era e, by window. A copy of an earlier era than the one
+// before is of use only if it was reported: the window may have been frozen with other counts in an era of which this instance did not learn.
 func (c *FrozenCopies) lost(e era.Era, now time.Time) []Frozen {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []Frozen
 	for _, w := range slices.Sorted(maps.Keys(c.held)) {
-		if x := c.held[w]; x.stored < e && now.Sub(x.received) <= frozenLifetime {
+		if x := c.held[w]; x.stored < e && (x.Reported || x.stored == e-1) && now.Sub(x.received) <= frozenLifetime {
 			list = append(list, x.Frozen)
 		}
 	}
--- a/serving/metering/load.go
+++ b/serving/metering/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/wire"
 )
 
@@ -19,6 +20,7 @@
 		return err
 	}
 	r.unreported, r.kept, r.next, r.lastWriters, r.occupied = nil, nil, 0, nil, map[Window]bool{}
+	r.frozenEra = 0
 	r.reported = map[Window]map[string]time.Time{}
 	for _, row := range rows {
 		w, err := r.decodeWindow(row)
@@ -30,6 +32,7 @@
 			continue
 		}
 		r.next = w.Window + 1
+		r.frozenEra = max(r.frozenEra, era.OfEpoch(int(w.Epoch)))
 		r.lastWriters = w.writers()
 		if w.Reported {
 			r.kept = append(r.kept, w.Window)
--- a/serving/metering/model_test.go
+++ b/serving/metering/model_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"time"
 
+	"cowslipshunt.example/serving/clearance"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/tabletest"
@@ -65,6 +66,7 @@
 	// client is the instance's client of a table that may be restored, or nil; copies are its copies of frozen windows.
 	client *tabletest.Client
 	copies *metering.FrozenCopies
+	ledger *clearance.Ledger
 	// cutOff makes all of the instance's calls to the store fail.
 	cutOff bool
 	model  *usageModel
@@ -141,6 +143,8 @@
 	// begun counts the requests that began, late those that reporters found too late to report.
 	begun map[metering.Window]int
 	late  map[metering.Window]int
+	// withheld counts the windows that reporters withheld.
+	withheld int
 }
 
 func newUsageModel(t *rapid.T) *usageModel {
@@ -205,11 +209,28 @@
 // kill replaces an incarnation with a new one, of which the others hear. Counts that the old one had neither written nor copied are lost.
 func (m *usageModel) kill(n int) {
 	m.instances[n] = m.start(n)
-	if m.silentRestarts {
-		return
+	if !m.silentRestarts {
+		m.heard(m.instances[n])
 	}
+}
+
+// heard lets the others hear of a new incarnation.
+func (m *usageModel) heard(started *instance) {
 	for _, i := range m.instances {
-		i.handoffs.SetIncarnation(m.instances[n].name, m.instances[n].incarnation)
+		i.handoffs.SetIncarnation(started.name, started.incarnation)
+		if m.restorable && i != started {
+			i.sendCopies([]*instance{started})
+		}
+	}
+}
+
+// shutDown ends an incarnation gracefully.
+func (m *usageModel) shutDown(i *instance) {
+	_ = i.keeper.Release(m.t.Context())
+	_ = i.writer.Close(m.t.Context(), m.clock.now)
+	if m.restorable {
+		i.ledger.PledgeAtRelease()
+		i.sendCopies(m.instances)
 	}
 }
 
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -75,6 +75,10 @@
 	malformed func(table, key string, err error)
 
 	restores Restores
+	// withheld is called with windows that are not frozen, as they may have been reported before the store was restored.
+	withheld func(x Withheld)
+	// withheldCounts is called at least once for the counts of such a window.
+	withheldCounts func(w Window, counts Counts)
 	// era is the era of the store, and eraSince the agreed time at which it became known.
 	era      era.Era
 	eraSince time.Time
@@ -85,6 +89,8 @@
 	loaded bool
 	// next is the next window to freeze, 0 if there are no counts yet.
 	next Window
+	// frozenEra is the latest era in which one of the stored windows was frozen.
+	frozenEra era.Era
 	// occupied are the windows whose row cannot be used.
 	occupied map[Window]bool
 	// unreported are the frozen windows that are not marked as reported, oldest first; kept are the reported ones still stored.
@@ -96,35 +102,10 @@
 	lastWriters map[string]time.Time
 }
 
-// Bounds limit how long a window waits for instances that have not written its counts.
-type Bounds struct {
-	// FreezeDelay is how long after its end a window is frozen even if counts may be missing.
-	FreezeDelay time.Duration
-	// GoneTimeout is how long after its last write an instance counts as gone, so that no window waits for it.
-	GoneTimeout time.Duration
-}
-
-// Option configures a Reporter.
-type Option func(*Reporter)
-
-// WithLate sets a function that is called with counts that were written after their window was frozen, so that they can be billed
-// manually.
-func WithLate(late func(w Window, counts Counts)) Option {
-	return func(r *Reporter) {
-		r.late = late
-	}
-}
-
-// WithMalformed sets a function that is called with each row, at each read of it, that cannot be used. Such rows count nothing.
-func WithMalformed(malformed func(table, key string, err error)) Option {
-	return func(r *Reporter) {
-		r.malformed = malformed
-	}
-}
-
 // NewReporter returns a Reporter that continues from the windows in the store at the first Step that holds the lease.
 func NewReporter(t Table, f Fence, p Platform, c *Counter, b Bounds, opts ...Option) *Reporter {
-	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}, malformed: func(string, string, error) {}, restores: noRestores()}
+	r := &Reporter{table: t, fence: f, platform: p, counter: c, bounds: b, late: func(Window, Counts) {}, malformed: func(string, string, error) {}, restores: noRestores(),
+		withheld: func(Withheld) {}, withheldCounts: func(Window, Counts) {}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -150,6 +131,9 @@
 		r.loaded = false
 		return err
 	}
+	if r.restores.MayRestore() && r.isSettled(r.counter.now()) {
+		r.restores.Evidence.Pledge(r.next)
+	}
 	return r.report(ctx)
 }
 
@@ -166,6 +150,7 @@
 			return err
 		}
 	}
+	r.withhold()
 	for r.next != 0 && r.next <= last {
 		if r.occupied[r.next] {
 			// It may have been reported before its row was overwritten, so it must not be frozen again. Its counts are late.
@@ -195,7 +180,7 @@
 func (r *Reporter) freeze(ctx context.Context, s *windowSum) error {
 	f := frozenWindow{row: s.row}
 	f.row.Epoch = r.epoch
-	remove := make([]wire.Write, 0, len(s.repeated)+len(s.late))
+	remove := make([]wire.Write, 0, len(s.repeated)+len(s.late)+len(s.withheld))
 	for _, key := range s.repeated {
 		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
 	}
@@ -203,6 +188,10 @@
 		r.late(late.window, late.counts)
 		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
 	}
+	for key, x := range s.withheld {
+		r.withheldCounts(x.window, x.counts)
+		remove = append(remove, wire.Write{Table: CountTable, Key: key, Delete: true})
+	}
 	answer, err := r.put(ctx, f.row, 0, remove[:min(len(remove), maxRemoved)])
 	if err != nil {
 		return err
@@ -230,11 +219,11 @@
 
 // report reports the frozen windows in order and stops at the first error.
 func (r *Reporter) report(ctx context.Context) error {
+	r.shareFrozen()
 	for len(r.unreported) > 0 {
 		f := &r.unreported[0]
-		if !f.shared {
-			r.share(f)
-			f.shared = true
+		if !r.mayReport(f) {
+			return nil
 		}
 		if err := r.send(ctx, f.row); err != nil {
 			return fmt.Errorf("report usage window %d: %w", f.row.Window, err)
--- a/serving/metering/restored.go
+++ b/serving/metering/restored.go
@@ -22,25 +22,76 @@
 	Copies *FrozenCopies
 	// Share sends a copy to the peers, with the era in which the store has the window. That may have passed meanwhile.
 	Share func(f Frozen, stored era.Era)
+	// Evidence is what is known of reports that the store has lost. Without it, only windows that end after a restore are frozen.
+	Evidence Evidence
 }
 
+// Evidence is what instances know of windows that nobody has reported, and by which the holder keeps them informed.
+type Evidence interface {
+	// ObserveEra notes the era of the store. It is called often, also while the lease is not held.
+	ObserveEra(e era.Era)
+	// FirstUnreported returns the first window that, like all later ones, nobody reported before an era, and whether it is known.
+	FirstUnreported(e era.Era) (Window, bool)
+	// Loaded notes the first window that nobody has reported, as read from the store under the lease.
+	Loaded(first Window)
+	// Pledge tells the peers that no window from next on has been reported or will be before they have a copy.
+	Pledge(next Window)
+	// MayReport reports whether the peers that rely on a pledge know that a window may be reported.
+	MayReport(w Window) bool
+	// Distribute sends a copy of a window, which the store has in an era, to those peers that have not acknowledged one.
+	Distribute(f Frozen, stored era.Era)
+	// Reporting notes that a window is going to be reported.
+	Reporting(w Window)
+}
+
+// noEvidence is the Evidence of an instance that knows and tells nothing.
+type noEvidence struct{}
+
+// ObserveEra does nothing.
+func (noEvidence) ObserveEra(era.Era) {}
+
+// FirstUnreported knows no window.
+func (noEvidence) FirstUnreported(era.Era) (Window, bool) { return 0, false }
+
+// Loaded does nothing.
+func (noEvidence) Loaded(Window) {}
+
+// Pledge does nothing.
+func (noEvidence) Pledge(Window) {}
+
+// MayReport returns true.
+func (noEvidence) MayReport(Window) bool { return true }
+
+// Distribute does nothing.
+func (noEvidence) Distribute(Frozen, era.Era) {}
+
+// Reporting does nothing.
+func (noEvidence) Reporting(Window) {}
+
 // WithRestores makes a Reporter keep its windows fixed although the store is restored.
 func WithRestores(x Restores) Option {
 	return func(r *Reporter) {
 		r.restores = x
+		if x.Evidence == nil {
+			r.restores.Evidence = noEvidence{}
+		}
 	}
 }
 
 // noRestores are those of a store that is never restored.
 func noRestores() Restores {
-	return Restores{Era: func() era.Era { return 0 }, MayRestore: func() bool { return false }, Copies: NewFrozenCopies(), Share: func(Frozen, era.Era) {}}
+	return Restores{Era: func() era.Era { return 0 }, MayRestore: func() bool { return false }, Copies: NewFrozenCopies(), Share: func(Frozen, era.Era) {}, Evidence: noEvidence{}}
 }
 
 // ObserveEra notes the era of the store. It is to be called also while the lease is not held, by the goroutine that calls Step.
 func (r *Reporter) ObserveEra() {
-	if e := r.restores.Era(); e != r.era {
+	e := r.restores.Era()
+	if e != r.era {
 		r.era, r.eraSince, r.loaded = e, r.counter.now(), false
 	}
+	if e > 0 {
+		r.restores.Evidence.ObserveEra(e)
+	}
 }
 
 // isSettled reports whether all instances have had time to write again what the store lost by its last restore.
--- a/serving/metering/restored_test.go
+++ b/serving/metering/restored_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cowslipshunt.example/serving/clearance"
 	"cowslipshunt.example/serving/metering"
 	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/shared/lease"
@@ -18,9 +19,12 @@
 func (m *usageModel) startRestorable(i *instance) {
 	i.client, i.copies = tabletest.NewClient(m.table), metering.NewFrozenCopies()
 	i.keeper = lease.NewKeeper("duties", lease.Identity{Instance: i.name, Incarnation: i.incarnation}, i, m.clock, lease.WithEra(i.client.Era))
+	i.ledger = clearance.NewLedger(i.keeper, clearance.NewWitness(m.clock, witnesses{i}), string(i.name))
 	i.reporter = metering.NewReporter(i, i.keeper, m.platform, i.counter, m.bounds,
 		metering.WithLate(func(w metering.Window, c metering.Counts) { m.late[w] += c["w"] }),
-		metering.WithRestores(metering.Restores{Era: i.client.Era, MayRestore: mayRestore, Copies: i.copies, Share: func(f metering.Frozen, stored era.Era) { m.share(i, f, stored) }}))
+		metering.WithWithheld(func(x metering.Withheld) { m.withheld += int(x.Last-x.First) + 1 }, func(metering.Window, metering.Counts) {}),
+		metering.WithRestores(metering.Restores{Era: i.client.Era, MayRestore: mayRestore, Copies: i.copies, Evidence: i.ledger,
+			Share: func(f metering.Frozen, stored era.Era) { m.share(i, f, stored) }}))
 	i.handoffs = metering.NewHandoffs(i.incarnation, metering.WithWithdrawn(mayRestore))
 	i.writer = metering.NewWriter(i, i.counter, i.handoffs, i, i.name, i.incarnation,
 		metering.WithEra(i.client.Era, mayRestore, i.copies))
@@ -29,8 +33,85 @@
 // share delivers a copy of a frozen window to the other instances.
 func (m *usageModel) share(from *instance, f metering.Frozen, stored era.Era) {
 	for _, i := range m.instances {
-		if i != from && (m.losesDatagram == nil || !m.losesDatagram()) {
-			i.copies.Keep(f, stored, m.clock.now)
+		if i != from {
+			from.sendCopy(i, f, stored)
+		}
+	}
+}
+
+// loses reports whether a datagram is lost.
+func (m *usageModel) loses() bool {
+	return m.losesDatagram != nil && m.losesDatagram()
+}
+
+// sendCopy delivers a copy of a frozen window to another instance, and its receipt.
+func (i *instance) sendCopy(to *instance, f metering.Frozen, stored era.Era) {
+	m := i.model
+	if m.loses() || !to.copies.Keep(f, stored, m.clock.now) || !to.ledger.ReceiveCopy(f.Window, stored) || m.loses() {
+		return
+	}
+	i.ledger.ReceiveReceipt(clearance.Receipt{Witness: string(to.name), Window: f.Window})
+}
+
+// sendCopies delivers all copies of frozen windows, and the clearance of the era, to other instances.
+func (i *instance) sendCopies(to []*instance) {
+	for _, other := range to {
+		for _, x := range i.copies.All(i.model.clock.now) {
+			if other != i {
+				i.sendCopy(other, x.Frozen, x.Stored)
+			}
+		}
+		if c, known := i.ledger.Clearance(i.client.Era()); known && other != i && !i.model.loses() {
+			other.ledger.ReceiveClearance(c)
+		}
+	}
+}
+
+// witnesses are the peers of an instance. The address of an instance is its name.
+type witnesses struct{ *instance }
+
+// find returns the instance at an address, or nil.
+func (w witnesses) find(address string) *instance {
+	for _, i := range w.model.instances {
+		if string(i.name) == address && i != w.instance {
+			return i
+		}
+	}
+	return nil
+}
+
+// Witnesses returns all others.
+func (w witnesses) Witnesses() []string {
+	var list []string
+	for _, i := range w.model.instances {
+		if i != w.instance {
+			list = append(list, string(i.name))
+		}
+	}
+	return list
+}
+
+// Pledge delivers a pledge and its receipt.
+func (w witnesses) Pledge(witness string, p clearance.Pledge) {
+	to := w.find(witness)
+	if to == nil || w.model.loses() || !to.ledger.ReceivePledge(p) || w.model.loses() {
+		return
+	}
+	w.ledger.ReceiveReceipt(clearance.Receipt{Witness: witness, Until: p.Until})
+}
+
+// SendCopy delivers a copy and its receipt.
+func (w witnesses) SendCopy(witness string, f metering.Frozen, stored era.Era) {
+	if to := w.find(witness); to != nil {
+		w.sendCopy(to, f, stored)
+	}
+}
+
+// Announce delivers a clearance to all others.
+func (w witnesses) Announce(c clearance.Clearance) {
+	for _, i := range w.model.instances {
+		if i != w.instance && !w.model.loses() {
+			i.ledger.ReceiveClearance(c)
 		}
 	}
 }
--- a/serving/metering/sum.go
+++ b/serving/metering/sum.go
@@ -23,6 +23,8 @@
 	newest map[wire.InstanceName]sourceWrite
 	// late are the counts of earlier windows that were written after their window was frozen, by the key of their row.
 	late map[string]lateCounts
+	// withheld are the counts of earlier windows that are not frozen, by the key of their row.
+	withheld map[string]lateCounts
 	// repeated are the keys of counts of reported windows that include them: they were written again after a restore of the store.
 	repeated []string
 }
@@ -82,6 +84,7 @@
 		wroteNext: map[string]bool{},
 		newest:    map[wire.InstanceName]sourceWrite{},
 		late:      map[string]lateCounts{},
+		withheld:  map[string]lateCounts{},
 	}
 	for _, row := range rows {
 		window, source, written, err := decodeCounts(row)
@@ -97,6 +100,8 @@
 			// The row is removed once its window has been reported.
 		case window < w && r.hasReported(window, source, written.Written):
 			s.repeated = append(s.repeated, row.Key)
+		case window < w && r.isWithheld(window):
+			s.withheld[row.Key] = lateCounts{window: window, counts: written.Counts}
 		case window < w:
 			s.late[row.Key] = lateCounts{window: window, counts: written.Counts}
 		default:
--- a/shared/era/era.go
+++ b/shared/era/era.go
@@ -57,3 +57,8 @@
 func FirstEpoch(e Era) int {
 	return int(e) << epochBits
 }
+
+// OfEpoch returns the era of an epoch.
+func OfEpoch(epoch int) Era {
+	return Era(epoch >> epochBits)
+}
