Take only epochs of the present era as evidence that windows are cleared

Cause: found by reading. The highest era of the epochs in the stored windows counted, so a row of another writer with an epoch that no holder has had would have cleared all windows of a restored store.

Change: only an epoch of the present era counts.

Result: TestRowOfImpossibleEpochClearsNothing passes; that it fails with the comparison before was not run.

--- a/serving/metering/load.go
+++ b/serving/metering/load.go
@@ -20,7 +20,7 @@
 		return err
 	}
 	r.unreported, r.kept, r.next, r.lastWriters, r.occupied = nil, nil, 0, nil, map[Window]bool{}
-	r.frozenEra = 0
+	r.frozenInEra = false
 	r.reported = map[Window]map[string]time.Time{}
 	for _, row := range rows {
 		w, err := r.decodeWindow(row)
@@ -32,7 +32,7 @@
 			continue
 		}
 		r.next = w.Window + 1
-		r.frozenEra = max(r.frozenEra, era.OfEpoch(int(w.Epoch)))
+		r.frozenInEra = r.frozenInEra || era.OfEpoch(int(w.Epoch)) == r.era
 		r.lastWriters = w.writers()
 		if w.Reported {
 			r.kept = append(r.kept, w.Window)
--- a/serving/metering/reporter.go
+++ b/serving/metering/reporter.go
@@ -89,8 +89,8 @@
 	loaded bool
 	// next is the next window to freeze, 0 if there are no counts yet.
 	next Window
-	// frozenEra is the latest era in which one of the stored windows was frozen.
-	frozenEra era.Era
+	// frozenInEra is set if one of the stored windows was frozen in the present era.
+	frozenInEra bool
 	// occupied are the windows whose row cannot be used.
 	occupied map[Window]bool
 	// unreported are the frozen windows that are not marked as reported, oldest first; kept are the reported ones still stored.
--- a/serving/metering/restored_test.go
+++ b/serving/metering/restored_test.go
@@ -1,6 +1,7 @@
 package metering_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"cowslipshunt.example/shared/era"
 	"cowslipshunt.example/shared/lease"
 	"cowslipshunt.example/shared/tabletest"
+	"cowslipshunt.example/wire"
 	"pgregory.net/rapid"
 )
 
@@ -250,3 +252,36 @@
 		t.Errorf("%d rows were written again; the peers got %d hand-offs and %d withdrawals, want 3", len(rows), peers.handoffs, peers.withdrawals)
 	}
 }
+
+// TestRowOfImpossibleEpochClearsNothing guards against a window that is reported again because another writer left a row with an epoch that no
+// holder has had.
+func TestRowOfImpossibleEpochClearsNothing(t *testing.T) {
+	for _, x := range []struct {
+		epoch    int
+		withheld bool
+	}{{era.FirstEpoch(1) + 1, false}, {1, true}, {era.FirstEpoch(2) + 1, true}, {1 << 60, true}, {-1, true}} {
+		table, now := tabletest.New(), time.Unix(1e9, 0)
+		client := tabletest.NewClient(table)
+		counter := metering.NewCounter(windowLength, func() time.Time { return now })
+		w := counter.At(now)
+		value := fmt.Sprintf(`{"Window":%d,"Counts":{"w":1},"Epoch":%d,"Reported":true}`, w, x.epoch)
+		table.Commit(wire.TransactRequest{Writes: []wire.Write{{Table: metering.WindowTable, Key: fmt.Sprintf("%012d", w), Value: []byte(value)}}})
+		table.Restore(table.Backup())
+		if _, err := client.Range(t.Context(), metering.WindowTable, "", ""); err != nil {
+			t.Fatal(err)
+		}
+		withheld := 0
+		r := metering.NewReporter(client, &restoringFence{client: client}, anyPlatform{}, counter, metering.Bounds{FreezeDelay: time.Second},
+			metering.WithWithheld(func(x metering.Withheld) { withheld += int(x.Last-x.First) + 1 }, func(metering.Window, metering.Counts) {}),
+			metering.WithRestores(metering.Restores{Era: client.Era, MayRestore: mayRestore, Copies: metering.NewFrozenCopies(), Share: func(metering.Frozen, era.Era) {}}))
+		now = now.Add(2*windowLength + 1)
+		r.ObserveEra() // the window after w may have been reported
+		now = now.Add(2 * windowLength)
+		if err := r.Step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if (withheld == 1) != x.withheld {
+			t.Errorf("a window was frozen under epoch %d: %d windows were withheld", x.epoch, withheld)
+		}
+	}
+}
--- a/serving/metering/withheld.go
+++ b/serving/metering/withheld.go
@@ -36,7 +36,7 @@
 // firstUnreported returns the first window that nobody reported before the store was restored, and whether peers know that. A window was not
 // reported if it ended after the restore, which was before this instance learned of it, or if an earlier one was frozen in the present era.
 func (r *Reporter) firstUnreported() (Window, bool) {
-	if r.era == 0 || r.frozenEra >= r.era {
+	if r.era == 0 || r.frozenInEra {
 		return 0, false
 	}
 	first := r.counter.At(r.eraSince)
