Announce no clearance that is not kept

A clearance is not kept if those of four later eras are known, which only malformed messages bring about; the announcement then read the missing entry as window 0 and would have cleared all windows at all peers.

Change: only a clearance that is kept is announced.

--- a/router/peer_clearance.go
+++ b/router/peer_clearance.go
@@ -15,6 +15,9 @@
 // copiesRepeat is when an instance that has started gets the copies of frozen windows for the second time, as datagrams may be lost.
 const copiesRepeat = time.Second
 
+// maxIncarnations bounds the instances whose incarnation is remembered. Beyond it, all get the copies again.
+const maxIncarnations = 4096
+
 // clockFunc is a function that returns the agreed time.
 type clockFunc func() time.Time
 
@@ -103,7 +106,7 @@
 	}
 }
 
-// noteIncarnation hands over to an instance that has started, unless this instance has just started itself.
+// noteIncarnation hands over to an instance of whose incarnation this one hears for the first time.
 func (p *peers) noteIncarnation(instance wire.InstanceName, incarnation wire.IncarnationId, address string) {
 	if store := p.restores.store.Load(); store == nil || !store.GivesEra() {
 		return
@@ -125,9 +128,6 @@
 	}
 }
 
-// maxIncarnations bounds the instances whose incarnation is remembered. Beyond it, all get the copies again.
-const maxIncarnations = 4096
-
 // logCleared logs a clearance, by which usage windows may be frozen although the store was restored.
 func (p *peers) logCleared(c clearance.Clearance, source clearance.Source) {
 	metrics.GetOrCreateCounter("router_usage_clearances_total").Inc()
--- a/serving/clearance/ledger.go
+++ b/serving/clearance/ledger.go
@@ -15,7 +15,7 @@
 // a witness that is gone delays reports only once.
 const maxUnanswered = 2
 
-// maxCopied bounds the windows of which the receipts of one witness are kept.
+// maxCopied bounds the windows of which the receipts of one witness are kept. Those of windows that were reported are removed.
 const maxCopied = 64
 
 // Ledger is what an instance knows as the holder of the lease: which windows were not reported, and what it has pledged to its witnesses. It
@@ -158,24 +158,17 @@
 	witnesses := l.peers.Witnesses()
 	l.holderMu.Lock()
 	p := l.lastPledge
+	p.First = max(p.First, l.unreported)
 	l.holderMu.Unlock()
 	if left == 0 || p.Until == 0 {
 		return
 	}
-	p.First = max(p.First, l.firstUnreported())
 	p.Until = l.clock.Now().Add(left).UnixMilli()
 	for _, witness := range witnesses {
 		l.peers.Pledge(witness, p)
 	}
 }
 
-// firstUnreported returns the first window that this instance does not know to have been reported.
-func (l *Ledger) firstUnreported() metering.Window {
-	l.holderMu.Lock()
-	defer l.holderMu.Unlock()
-	return l.unreported
-}
-
 // note records that a witness gets a pledge, unless it leaves pledges without receipts. The caller must hold l.holderMu.
 func (l *Ledger) note(witness string, p Pledge, confirmed int64) bool {
 	w := l.pledged[witness]
--- a/serving/clearance/ledger_test.go
+++ b/serving/clearance/ledger_test.go
@@ -231,6 +231,23 @@
 	}
 }
 
+// TestClearanceThatIsNotKeptIsNotAnnounced guards against the announcement that no window at all was reported, as malformed messages of later
+// eras have left no room for the own clearance.
+func TestClearanceThatIsNotKeptIsNotAnnounced(t *testing.T) {
+	f := newFixture()
+	for e := range era.Era(20) {
+		f.witness.ReceiveClearance(clearance.Clearance{Era: e + 2, First: 3})
+	}
+	f.holder.Loaded(7)
+	f.holder.Pledge(7)
+	f.witness.ObserveEra(1)
+	for _, c := range f.announced {
+		if c.First != 7 {
+			t.Errorf("the clearance %v was announced", c)
+		}
+	}
+}
+
 // TestMalformedMessagesClearNothing guards against datagrams that would fill the memory or clear windows of eras that cannot be.
 func TestMalformedMessagesClearNothing(t *testing.T) {
 	f := newFixture()
--- a/serving/clearance/witness.go
+++ b/serving/clearance/witness.go
@@ -166,7 +166,8 @@
 			w.announce = announcements
 		}
 	}
-	first, due := w.cleared[w.era], w.announce > 0
+	first, known := w.cleared[w.era]
+	due := known && w.announce > 0
 	if due {
 		w.announce--
 	}
