Give the peers of a test what each instance has

Cause: TestSpeedsArriveWithReports builds peers by hand, without restores, which a received report now reads: whether the store gives eras.

Change: the test's peers have restores, as newPeers makes them. No check of the test changes.

Result: the test passes under the race detector with the others of peers.

--- a/router/peer_speeds_test.go
+++ b/router/peer_speeds_test.go
@@ -53,7 +53,7 @@
 func TestSpeedsArriveWithReports(t *testing.T) {
 	d := roster.NewDirectory()
 	d.Put(roster.Entry{Key: roster.Key{ID: "i-1", Born: 1}, Service: "s", Domain: "a", Stage: roster.Prefill, Slots: 1})
-	p := &peers{peerLoads: peerload.NewTable("self", d), handoffs: metering.NewHandoffs("1")}
+	p := &peers{peerLoads: peerload.NewTable("self", d), handoffs: metering.NewHandoffs("1"), restores: newRestores()}
 	m := message{Report: &peerload.Report{From: "peer", Incarnation: "2", Sequence: 1}}
 	for range 6 {
 		m.Speeds = append(m.Speeds, peerload.Speed{Endpoint: "i-1", Permille: 700})
