--- a/router/follower_store.go
+++ b/router/follower_store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net/http/httptrace"
 	"slices"
 
 	"cowslipshunt.example/platform"
@@ -60,12 +61,14 @@
 	f.version = 0
 }
 
-// followFeed waits for changes after a version. It returns a *feedInterruptedError if interrupt is called meanwhile.
+// followFeed waits for changes after a version. It returns a *feedInterruptedError if interrupt is called before an answer begins: one that
+// arrives is not given up, as the next would take as long.
 func (f *follower) followFeed(ctx context.Context, after int) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.setCancelFeed(cancel)
 	defer f.setCancelFeed(nil)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { f.setCancelFeed(nil) }})
 	role := f.replicas.role()
 	wait := membership.FeedWait(f.liveInstances())
 	if role == replication.Reader {
--- a/router/slow_link_test.go
+++ b/router/slow_link_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,12 @@
 
 // slowLink forwards connections to an address and returns its own. Answers pass at slowLinkBytes a second.
 func slowLink(t *testing.T, address string) string {
+	t.Helper()
+	return countedSlowLink(t, address, &atomic.Int64{})
+}
+
+// countedSlowLink is a slowLink that adds the bytes of answers that have passed to a counter.
+func countedSlowLink(t *testing.T, address string, passed *atomic.Int64) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,14 +47,14 @@
 				_ = near.Close()
 				return
 			}
-			go forwardSlowly(near, far)
+			go forwardSlowly(near, far, passed)
 		}
 	}()
 	return l.Addr().String()
 }
 
 // forwardSlowly forwards between two connections until either is closed.
-func forwardSlowly(near, far net.Conn) {
+func forwardSlowly(near, far net.Conn, passed *atomic.Int64) {
 	const interval = 10 * time.Millisecond
 	go func() {
 		_, _ = io.Copy(far, near)
@@ -65,6 +72,7 @@
 		if _, err := near.Write(buffer[:n]); err != nil {
 			return
 		}
+		passed.Add(int64(n))
 		<-ticker.C
 	}
 }
