Vouch for a copy only if it has the changes that updates have shown

Cause, found by reading: an answer of the store vouches for a receiver's copy from when it has arrived. A change that a reader's update told of while the answer was on its way was forgotten, and so was one that another reader had not seen yet. The receiver then waited for the next update, up to 0.75 s later, or 1.5 s if that was lost; with an answer that takes seconds (a large configuration on a slow link) the 3 s within which a version must be in force could pass.

Change: the inbox remembers the highest version that an update has shown and the copy lacks. Neither an answer nor an update vouches for the copy below it. A read that began after that update settles it either way: the store's answers are linearizable.

--- a/router/follower.go
+++ b/router/follower.go
@@ -165,6 +165,14 @@
 	return f.version, f.synced
 }
 
+// beginRead returns what position does, for a call to the store that is about to be made.
+func (f *follower) beginRead() (version int, synced bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inbox.BeginRead()
+	return f.version, f.synced
+}
+
 // logReread logs an error after which the table is read again at once, and reports whether err is one.
 func (f *follower) logReread(err error) bool {
 	version, _ := f.position()
--- a/router/follower_store.go
+++ b/router/follower_store.go
@@ -14,7 +14,7 @@
 
 // step makes one call to the store: it waits for changes after the last version, or reads the whole table if f is not synced.
 func (f *follower) step(ctx context.Context) error {
-	version, synced := f.position()
+	version, synced := f.beginRead()
 	if synced {
 		return f.followFeed(ctx, version)
 	}
@@ -45,7 +45,7 @@
 	}
 	f.answered = max(f.answered, all.Version)
 	f.synced = true
-	f.inbox.Vouch()
+	f.inbox.EndRead(replication.Version(max(all.Version, f.version)))
 	if all.Version >= f.version {
 		f.apply(all.Rows, true)
 		f.version = all.Version
@@ -99,7 +99,7 @@
 	changes := f.apply(newer, false)
 	f.version = max(f.version, answer.Version)
 	f.answered = max(f.answered, answer.Version)
-	f.inbox.Vouch()
+	f.inbox.EndRead(replication.Version(f.version))
 	f.log.Append(replication.Version(f.version), changes)
 	if len(changes) == 0 {
 		return []replication.Update{f.log.Unchanged()}
--- a/serving/replication/inbox.go
+++ b/serving/replication/inbox.go
@@ -25,6 +25,9 @@
 	// gap.
 	heard time.Duration
 	fresh bool
+	// missing is the highest version after which an update has changes that the copy lacks, 0 if there was none; missingBefore is what it
+	// was as the present read of the store began.
+	missing, missingBefore Version
 }
 
 // NewInbox returns an inbox whose copy counts as up to date for maxSilence after each update.
@@ -36,11 +39,12 @@
 // update is old, or the copy's version is wrong.
 func (b *Inbox) Receive(u *Update, own Version) Result {
 	if u.After > own {
+		b.missing = max(b.missing, u.After)
 		b.fresh = false
 		return Gap
 	}
-	if own <= u.Newest && max(own, u.Version) >= u.Newest {
-		b.Vouch()
+	if known := max(own, u.Version); own <= u.Newest && known >= u.Newest && known >= b.missing {
+		b.vouch()
 	}
 	if u.Version <= own {
 		return Known
@@ -48,8 +52,22 @@
 	return Applicable
 }
 
-// Vouch records that the instance has read the store itself, which vouches for its copy as an update does.
-func (b *Inbox) Vouch() {
+// BeginRead records that the instance begins to read the store itself.
+func (b *Inbox) BeginRead() {
+	b.missingBefore = b.missing
+}
+
+// EndRead records that the copy has a version by the answer of the store, which vouches for it as an update does. It does not if an update that
+// has arrived since BeginRead shows later changes: the answer may be older. An update that had arrived before was wrong.
+func (b *Inbox) EndRead(v Version) {
+	if b.missing > v && b.missing > b.missingBefore {
+		return
+	}
+	b.missing = 0
+	b.vouch()
+}
+
+func (b *Inbox) vouch() {
 	b.heard, b.fresh = b.now(), true
 }
 
--- a/serving/replication/replication_test.go
+++ b/serving/replication/replication_test.go
@@ -126,8 +126,9 @@
 	m.datagrams = waiting
 	if m.inbox.Left() <= 0 {
 		m.reads++
+		m.inbox.BeginRead()
 		m.apply(m.after(m.own), m.version)
-		m.inbox.Vouch()
+		m.inbox.EndRead(m.version)
 	}
 }
 
