Show that crowds of open bodies stay within memory

What had no test was a crowd of bodies.

A connection of a crowd may now stop sending; the other crowds are as they were.

--- a/router/crowd_test.go
+++ b/router/crowd_test.go
@@ -55,8 +55,8 @@
 	return path
 }
 
-// startProgram starts the program at path with lowered limits.
-func startProgram(t *testing.T, path string) *program {
+// startProgram starts the program at path with lowered limits and a configuration with changes.
+func startProgram(t *testing.T, path string, changes ...platformtest.Change) *program {
 	t.Helper()
 	store, duties := platformtest.NewStore(t), platformtest.NewDutyServer(t)
 	endpoint := platformtest.NewReplica(t, respondDone)
@@ -70,9 +70,10 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	store.Put(platform.OperatorTable, platform.ConfigurationKey, platformtest.OpenConfiguration(t, 1, func(c *wire.Configuration) {
+	limits := func(c *wire.Configuration) {
 		c.Limits = &wire.Limits{MaxHeaderBytes: 16384, HeaderTimeoutMs: 3000, MaxBodyBytes: 4194304, IdleTimeoutMs: 15000}
-	}))
+	}
+	store.Put(platform.OperatorTable, platform.ConfigurationKey, platformtest.OpenConfiguration(t, 1, append([]platformtest.Change{limits}, changes...)...))
 	store.Put(platform.ReplicaTable, "i-1", platformtest.Entry(endpoint.Address, "ready"))
 	metricsAddress := freeAddress(t)
 	_, port, _ := net.SplitHostPort(metricsAddress)
@@ -146,9 +147,9 @@
 	return len(entries)
 }
 
-// crowd opens connections to an address. Each sends first, and then what next returns again and again, until it is closed. It sends a few KB
-// at a time, as many callers on slow links do, and the connections of a crowd keep pace with each other. Each stays open until crowdTime has
-// passed.
+// crowd opens connections to an address. Each sends first, and then what next returns again and again, until it is closed or next returns
+// nothing. It sends a few KB at a time, as many callers on slow links do, and the connections of a crowd keep pace with each other. Each
+// stays open until crowdTime has passed.
 func (p *program) crowd(address, first string, next func(i int) string) {
 	p.t.Helper()
 	crowdMutex.Lock()
@@ -204,10 +205,12 @@
 	go func() { _, _ = io.Copy(io.Discard, c) }()
 	_, err = io.WriteString(c, first)
 	i := 0
-	for sent := 0; sent < crowdMaxSent && err == nil; {
+	for sent, more := 0, true; more && sent < crowdMaxSent && err == nil; {
 		var b strings.Builder
-		for b.Len() < 4<<10 {
-			b.WriteString(next(i))
+		for more && b.Len() < 4<<10 {
+			part := next(i)
+			b.WriteString(part)
+			more = part != ""
 			i++
 		}
 		sent += b.Len()
