Let the model of an inbox pass over actions without skips

Cause: a skip in a test may hide a failure, and three lines of this model used one for actions that do not apply. Change: they do nothing instead; the names say when they apply. The check is the same. Measured: passes 3,000 checks; with the change of the inbox taken back it fails as before.

--- a/serving/replication/inbox_test.go
+++ b/serving/replication/inbox_test.go
@@ -27,9 +27,9 @@
 			"send": func(*rapid.T) {
 				delayed = append(delayed, replication.Update{After: changed, Version: stored, Newest: stored})
 			},
-			"receive": func(t *rapid.T) {
+			"receive an update, if one is on its way": func(t *rapid.T) {
 				if len(delayed) == 0 {
-					t.Skip("no update is on its way")
+					return
 				}
 				u := rapid.SampledFrom(delayed).Draw(t, "update")
 				shown = max(shown, u.After)
@@ -37,16 +37,16 @@
 					own = u.Version
 				}
 			},
-			"begin a read": func(t *rapid.T) {
+			"begin a read, unless one is under way": func(*rapid.T) {
 				if readAt > 0 {
-					t.Skip("a read is under way")
+					return
 				}
 				inbox.BeginRead()
 				readAt = stored
 			},
-			"end the read": func(t *rapid.T) {
+			"end the read, if one is under way": func(*rapid.T) {
 				if readAt == 0 {
-					t.Skip("no read is under way")
+					return
 				}
 				own = max(own, readAt)
 				inbox.EndRead(own)
