--- a/review/stand-3/tainted.go
+++ b/review/stand-3/tainted.go
@@ -130,8 +130,10 @@
 				t.served.Add(1)
 			case a.status == http.StatusOK:
 				t.broken.Add(1)
+				t.rec.add("sound request %016x, sent to %s, broke off after %d bytes: %v", n, rt.name, len(a.body), a.err)
 			default:
 				t.refused.Add(1)
+				t.rec.add("sound request %016x, sent to %s, answered: status %d, %v", n, rt.name, a.status, a.err)
 			}
 		}()
 	}
