--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -14,10 +14,9 @@
 
 // plays are the cases by name. Each reports whether the rule was broken.
 var plays = map[string]func(rec *record, trouble bool) bool{
-	"killed-together": playKilledTogether,
-	"reborn":          playReborn,
-	"batches":         playBatches,
-	"documents":       playDocuments,
+	"reborn":    playReborn,
+	"batches":   playBatches,
+	"documents": playDocuments,
 }
 
 func main() {
--- a/review/stand-3/tainted.go
+++ b/review/stand-3/tainted.go
@@ -218,44 +218,6 @@
 	return t.judge()
 }
 
-// playKilledTogether kills all processes of the system at the same moment, some time after the part was found, and starts them again.
-func playKilledTogether(rec *record, trouble bool) bool {
-	const (
-		batch = 10
-		apart = 60 * time.Millisecond
-		pause = 7 * time.Second
-		away  = time.Second
-	)
-	t := newTainted(rec, 3, 6, 3, 4*time.Second, 0, func(string) string { return newID() })
-	defer t.close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go t.soundTraffic(ctx, 20)
-	time.Sleep(8 * time.Second)
-	t.burst(batch, apart)
-	time.Sleep(pause)
-	t.burst(batch, apart)
-	time.Sleep(pause)
-	t.burst(batch, apart)
-	time.Sleep(contact)
-	if trouble {
-		for _, r := range t.routers {
-			r.kill()
-		}
-		time.Sleep(away)
-		for _, r := range t.routers {
-			r.start(false)
-		}
-	}
-	t.awaitReady()
-	time.Sleep(2 * contact)
-	t.burst(batch, apart)
-	time.Sleep(pause)
-	t.burst(batch, apart)
-	time.Sleep(time.Second)
-	return t.judge()
-}
-
 // playBatches sends the requests with the part in batches, all of a batch at the same moment. Without the trouble no part crashes an engine.
 func playBatches(rec *record, trouble bool) bool {
 	const (
