--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cowslipshunt.example/platform/platformtest"
+	"cowslipshunt.example/platform/wire"
 )
 
 // heartbeat is the interval of the servers' heartbeats; an entry is removed after silentHeartbeats of silence.
@@ -35,6 +36,7 @@
 	id       string
 	born     int64
 	sequence int
+	weights  int
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	// swapping is set while an order is carried out.
@@ -53,7 +55,7 @@
 
 // addServer adds a server and starts it.
 func (w *world) addServer(service, stage, zone, ip string, serve func(s *server, w http.ResponseWriter, r *http.Request)) *server {
-	s := &server{w: w, service: service, stage: stage, zone: zone, address: ip + ":0", serve: serve, conns: map[net.Conn]struct{}{}}
+	s := &server{w: w, service: service, stage: stage, zone: zone, address: ip + ":0", serve: serve, weights: 1, conns: map[net.Conn]struct{}{}}
 	w.mu.Lock()
 	w.servers = append(w.servers, s)
 	w.mu.Unlock()
@@ -101,11 +103,11 @@
 func (s *server) list() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	entry := map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
-		"cold_left_ms": 0, "sequence": s.sequence, "born": s.born}
+	born, cold, version := int(s.born), 0.0, "v1"
+	entry := wire.ReplicaEntry{Service: s.service, Address: s.address, Zone: s.zone, Version: &version, Slots: 6, State: "ready", ColdLeftMs: &cold,
+		Sequence: &s.sequence, Born: &born}
 	if s.stage != "" {
-		entry["slots"], entry["stage"] = 64, s.stage
-		entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
+		entry.Slots, entry.Stage, entry.Models = 64, &s.stage, []wire.LoadedModel{{Name: "m", Version: &s.weights}}
 	}
 	text, err := json.Marshal(entry)
 	if err != nil {
@@ -149,18 +151,18 @@
 	s.mu.Lock()
 	id, stage, swapping := s.id, s.stage, s.swapping
 	s.mu.Unlock()
-	if expected := r.Header.Get("Cowslipshunt-Expect-Instance"); expected != "" && expected != id {
-		w.Header().Set("Cowslipshunt-Request-Id", platformtest.RequestID(r.Header))
-		w.Header().Set("Cowslipshunt-Instance-Id", id)
+	if expected := r.Header.Get(words.ExpectedID); expected != "" && expected != id {
+		w.Header().Set(words.RequestID, platformtest.RequestID(r.Header))
+		w.Header().Set(words.InstanceID, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == "/v1/order" {
+	if r.URL.Path == words.OrderPath {
 		s.order(w, r)
 		return
 	}
-	w.Header().Set("Cowslipshunt-Request-Id", platformtest.RequestID(r.Header))
-	prefill := r.Header.Get("Cowslipshunt-Stage") == "prefill"
+	w.Header().Set(words.RequestID, platformtest.RequestID(r.Header))
+	prefill := r.Header.Get(words.Stage) == "prefill"
 	switch {
 	case swapping:
 		notRun(w, http.StatusServiceUnavailable)
@@ -173,24 +175,20 @@
 
 // notRun answers that the server has not run the request.
 func notRun(w http.ResponseWriter, status int) {
-	w.Header().Set("Cowslipshunt-Not-Executed", "1")
+	w.Header().Set(words.NotRun, "1")
 	w.WriteHeader(status)
 }
 
 // order carries out an order to change the stage.
 func (s *server) order(w http.ResponseWriter, r *http.Request) {
-	var order struct {
-		Stage  string `json:"stage"`
-		Holder string `json:"holder"`
-		Token  int64  `json:"fencing_token"`
-	}
+	var order wire.StageOrder
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.w.rec.add("server %s gets the order %s from %s, token %d", s.id, order.Stage, order.Holder, order.Token)
+	s.w.rec.add("server %s gets the order %s from %s, token %d", s.id, order.Stage, order.Holder, order.FencingToken)
 	switch {
 	case s.swapping:
 		w.WriteHeader(http.StatusConflict)
@@ -215,8 +213,8 @@
 
 // stream answers with a stream of events.
 func stream(w http.ResponseWriter, r *http.Request, events int, first, pause time.Duration) {
-	w.Header().Set("Cowslipshunt-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")
-	w.Header().Set("Cowslipshunt-Weight-Versions", "1")
+	w.Header().Set(words.Seal, "3e1b.07.5a2.600.0.c9f2a4d1")
+	w.Header().Set(words.Weights, "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	wait := first
 	for n := range events {
@@ -252,8 +250,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: ficu95.example\r\nCowslipshunt-Request-Id: %s\r\nCowslipshunt-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		method, path, id, deadline.Milliseconds(), key)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: ficu95.example\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
+		method, path, words.RequestID, id, words.Deadline, deadline.Milliseconds(), key)
 	for name, value := range header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
@@ -272,7 +270,7 @@
 // isReady reports whether the router answers the question whether it is ready with 200.
 func (r *router) isReady() bool {
 	c := &http.Client{Timeout: time.Second}
-	resp, err := c.Get("http://" + r.ready + "/v1/ready")
+	resp, err := c.Get("http://" + r.ready + words.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -286,6 +284,6 @@
 	for _, p := range parts {
 		list = append(list, p+":100")
 	}
-	return map[string]string{"Cowslipshunt-Model": "m", "Cowslipshunt-Token-Count": fmt.Sprintf("%d,20", 100*len(parts)),
-		"Cowslipshunt-Prompt-Prefix": strings.Join(list, ",")}
+	return map[string]string{words.Model: "m", words.Tokens: fmt.Sprintf("%d,20", 100*len(parts)),
+		words.Parts: strings.Join(list, ",")}
 }
--- a/review/stand-3/tainted.go
+++ b/review/stand-3/tainted.go
@@ -71,7 +71,7 @@
 	for _, s := range t.servers {
 		s.lag = lag
 	}
-	t.store.Put("op", "config", configuration(1))
+	t.store.Put("op", "config", configurationText)
 	for n := range routers {
 		t.addRouter(n).start(true)
 	}
@@ -98,7 +98,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("Cowslipshunt-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")
+	w.Header().Set(words.Seal, "3e1b.07.5a2.600.0.c9f2a4d1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = fmt.Fprint(w, "id: 1\ndata: to")
 	_ = http.NewResponseController(w).Flush()
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -162,26 +162,9 @@
 
 // settings are like those that DEPLOY.md shows.
 func (r *router) settings(first bool) string {
-	lines := []string{
-		"node_name=" + r.name, "role=router", "machine_class=front", "serves=front", "ip=" + r.ip, "zone=" + r.zone, "region=qld",
-		"zones.qld-a=qld", "zones.qld-b=qld", "zones.qld-c=qld",
-		"listen.front=" + r.caller, "listen.ready=" + r.ready, fmt.Sprintf("port_range=%d,%d", r.w.peerPort, r.w.peerPort+15),
-		fmt.Sprintf("first_start=%t", first), "loss_counted=false", "limits.cpu_share=0.4", "limits.cores=1", "limits.memory_mb=284",
-		"limits.max_fds=4100", "limits.link_mbps=1000.0", "limits.disk_mb=0", "discovery=platform", "entry=vip", "heartbeat_ms=1200",
-		"contracts=base,drain,config,cost,retry,recover,split,stream,engine,tenants,leader,platform",
-		"fault_tolerance.machines=2", "fault_tolerance.zones=1", "fault_tolerance.regions=0",
-		"bounds.seed_lag_s=3", "bounds.reuse_after_s=2", "bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.catch_up_s=4",
-		"bounds.drain_ms=2000", "bounds.grace_s=8", "bounds.loss_slack_ms=200", "bounds.config_apply_ms=2000", "bounds.rollback_slack_ms=250",
-		"bounds.max_stretch_ms=5000", "bounds.strict_revoke=false", "bounds.revoke_ms=5000", "bounds.retry_ratio=0.2",
-		"bounds.retry_window_s=10", "bounds.retry_slack=56", "bounds.fencing=false", "bounds.lease_ms=3000", "bounds.thaw_slack_ms=300",
-		"bounds.report_window_s=5", "bounds.usage_tolerance=0.05", "bounds.usage_late_s=10", "bounds.recovery_s=12",
-		"bounds.transit_ms=120", "bounds.retry_after_s=8.9",
-		"platform.address=" + r.w.store.Address, "platform.form=table", "platform.writes_per_s=400", "platform.reads_per_s=2000",
-		"platform.tx_ms=3.0", "platform.appends_per_s=300", "platform.row_bytes=65536", "platform.across=true", "platform.history_s=20",
-		"platform.blob_bytes=8388608", "platform.blob_ms=25.0", "platform.blob_mb_per_s=80.0",
-		"cloud.address=" + r.w.duties.Address, "cloud.rate_per_s=50.0", "cloud.duties=usage_report", "cloud.duty_per_s=50.0",
-	}
-	return strings.Join(append(lines, r.extra...), "\n") + "\n"
+	text := strings.NewReplacer("NAME", r.name, "IP", r.ip, "ZONE", r.zone, "CALLER", r.caller, "READY", r.ready, "FIRST", strconv.FormatBool(first),
+		"LOWEST", strconv.Itoa(r.w.peerPort), "HIGHEST", strconv.Itoa(r.w.peerPort+15), "STORE", r.w.store.Address, "DUTIES", r.w.duties.Address).Replace(settingsText)
+	return text + strings.Join(r.extra, "\n") + "\n"
 }
 
 // start starts the process with the command of the deploy file.
@@ -239,32 +222,3 @@
 		}
 	}
 }
-
-// configuration is a small one: streams of model engines, bookings and look-ups.
-func configuration(version int) string {
-	route := func(name, prefix, kind, service string, timeout, goal, gap float64, attempts int, resume bool) map[string]any {
-		return map[string]any{"name": name, "host": "ficu95.example", "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout,
-			"goal_ms": goal, "gap_target_ms": gap, "priority": 1, "max_attempts": attempts, "public": false, "can_resume": resume, "sticky": kind == "streaming"}
-	}
-	c := map[string]any{
-		"version": version,
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
-		"routes": []any{
-			route("query", "/query/", "streaming", "models", 8000, 400, 150, 1, false),
-			route("note", "/note/", "streaming", "models", 4000, 500, 150, 2, true),
-			route("confirm", "/confirm/", "non_idempotent", "booking", 600, 100, 0, 1, false),
-			route("lookup", "/lookup/", "idempotent", "booking", 600, 100, 0, 2, false),
-		},
-		"services": []any{
-			map[string]any{"name": "models", "health_path": "/health", "max_conns": 370,
-				"engine": map[string]any{"slots": 64, "kv_capacity": 484150, "kv_token_bytes": 163840, "kv_hold_s": 5, "swap_s": 3}},
-			map[string]any{"name": "booking", "health_path": "/health", "max_conns": 110},
-		},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{"key-hule"}}, map[string]any{"name": "fida11", "api_keys": []string{"key-fida"}}},
-	}
-	text, err := json.Marshal(c)
-	if err != nil {
-		exitUnplayed(err.Error())
-	}
-	return string(text)
-}
